--- /dev/null
+++ b/src/main/kotlin/io/reedmast/app/FrontDoor.kt
@@ -0,0 +1,151 @@
+package io.reedmast.app
+
+import com.sun.net.httpserver.HttpServer
+import io.reedmast.jobs.UserAnswer
+import io.reedmast.settings.Settings
+import io.reedmast.wire.Fields
+import io.reedmast.wire.JobSpec
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Report
+import io.reedmast.wire.Tree
+import org.http4k.core.Body
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.path
+import org.http4k.routing.routes
+import org.http4k.server.HttpExchangeHandler
+import java.nio.ByteBuffer
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Semaphore
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+/**
+ * The HTTP side of the `front` address: reads messages, hands them to the deciding thread and waits for its answer.
+ *
+ * Submissions and polls may hold only part of the threads, so that reports of workers always find one.
+ */
+class FrontDoor(
+    private val settings: Settings,
+    private val node: Node,
+) {
+    private val submissions = Semaphore(SUBMISSIONS_AT_ONCE)
+    private val questions = Semaphore(QUESTIONS_AT_ONCE)
+
+    private val handler: HttpHandler =
+        routes(
+            "/checkin" bind Method.POST to ::checkin,
+            "/submissions" bind Method.POST to ::submit,
+            "/submissions/{id}" bind Method.GET to { request -> ask(request) { id, answer -> node.poll(id, answer) } },
+            "/submissions/{id}/abort" bind Method.POST to { request -> ask(request) { id, answer -> node.abort(id, answer) } },
+            "/healthz" bind Method.GET to { if (node.healthy()) Response(Status.OK) else Response(Status.SERVICE_UNAVAILABLE) },
+        )
+
+    fun start() {
+        // Read once by the JDK's server when its classes load.
+        System.setProperty("sun.net.httpserver.nodelay", "true")
+        System.setProperty("sun.net.httpserver.maxIdleConnections", (settings.maxConnections * 2 / 3).toString())
+        System.setProperty("jdk.httpserver.maxConnections", (settings.maxConnections * 3 / 4).toString())
+        val server = HttpServer.create(settings.front, BACKLOG)
+        server.createContext("/", HttpExchangeHandler(handler))
+        server.executor = RealOutward.pool("front", THREADS, QUEUED)
+        server.start()
+    }
+
+    private fun checkin(request: Request): Response =
+        reading(request) { fields ->
+            val report = Report.parse(fields)
+            val answer = await(WORKER_PATIENCE_MS) { node.checkin(report, it) }
+            when (answer) {
+                null, WorkerAnswer.Unavailable -> Response(Status.SERVICE_UNAVAILABLE)
+                is WorkerAnswer.Orders -> cbor(Status.OK, mapOf("baton" to answer.baton, "orders" to answer.orders.map { it.toFields() }))
+                is WorkerAnswer.Elsewhere -> cbor(MISDIRECTED, mapOf("steward" to answer.label))
+            }
+        }
+
+    private fun submit(request: Request): Response {
+        if (!submissions.tryAcquire()) return busy()
+        try {
+            return reading(request) { fields ->
+                val spec = JobSpec.parse(fields)
+                user(await(USER_PATIENCE_MS) { node.submit(spec, it) })
+            }
+        } finally {
+            submissions.release()
+        }
+    }
+
+    private fun ask(
+        request: Request,
+        question: (String, (UserAnswer) -> Unit) -> Boolean,
+    ): Response {
+        val id = request.path("id").orEmpty()
+        if (!questions.tryAcquire()) return busy()
+        try {
+            return user(await(QUESTION_PATIENCE_MS) { question(id, it) })
+        } finally {
+            questions.release()
+        }
+    }
+
+    private fun user(answer: UserAnswer?): Response {
+        if (answer == null) return Response(Status.GATEWAY_TIMEOUT).header("Retry-After", "1")
+        val response = cbor(Status(answer.status, ""), answer.body)
+        return if (answer.retryAfterS == null) response else response.header("Retry-After", answer.retryAfterS.toString())
+    }
+
+    private fun busy() = Response(Status.TOO_MANY_REQUESTS).header("Retry-After", "1")
+
+    /** Null if the deciding thread has too much to do, or gives no answer in time. */
+    private fun <T : Any> await(
+        patienceMs: Long,
+        ask: ((T) -> Unit) -> Boolean,
+    ): T? {
+        val future = CompletableFuture<T>()
+        if (!ask { future.complete(it) }) return null
+        return try {
+            future.get(patienceMs, TimeUnit.MILLISECONDS)
+        } catch (e: TimeoutException) {
+            null
+        }
+    }
+
+    private inline fun reading(
+        request: Request,
+        use: (Fields) -> Response,
+    ): Response {
+        val length = request.header("Content-Length")?.toLongOrNull()
+        if (length != null && length > MAX_BODY) return tooLarge()
+        val bytes = request.body.stream.readNBytes(MAX_BODY + 1)
+        if (bytes.size > MAX_BODY) return tooLarge()
+        return try {
+            use(Tree.readCbor(bytes))
+        } catch (e: MalformedException) {
+            cbor(Status.BAD_REQUEST, mapOf("error" to e.message))
+        }
+    }
+
+    private fun tooLarge() = Response(Status.REQUEST_ENTITY_TOO_LARGE).header("Connection", "close")
+
+    private fun cbor(
+        status: Status,
+        fields: Fields,
+    ): Response = Response(status).header("Content-Type", "application/cbor").body(Body(ByteBuffer.wrap(Tree.writeCbor(fields))))
+
+    private companion object {
+        val MISDIRECTED = Status(421, "Misdirected Request")
+        const val MAX_BODY = 64 * 1024
+        const val BACKLOG = 128
+        const val THREADS = 20
+        const val QUEUED = 200
+        const val SUBMISSIONS_AT_ONCE = 7
+        const val QUESTIONS_AT_ONCE = 7
+        const val WORKER_PATIENCE_MS = 3_000L
+        const val USER_PATIENCE_MS = 4_500L
+        const val QUESTION_PATIENCE_MS = 1_900L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/app/Main.kt
@@ -0,0 +1,112 @@
+package io.reedmast.app
+
+import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.check
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.versionOption
+import com.github.ajalt.clikt.parameters.types.double
+import io.reedmast.settings.Settings
+import io.reedmast.settings.SettingsException
+import io.reedmast.settings.Tuning
+import io.reedmast.state.StateClient
+import io.reedmast.wire.Caller
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+private object SystemClock : Clock {
+    override fun now(): Long = System.nanoTime() / 1_000_000
+
+    override fun wall(): Long = System.currentTimeMillis()
+}
+
+/** The `reedmast` command: one controller, which runs until it is killed. */
+class Reedmast : CoreCliktCommand("reedmast") {
+    private val config by option(help = "Settings file (JSON) of this controller", metavar = "FILE").required()
+    private val window by seconds("window", Tuning().windowS, "Sliding window over which charged use is counted")
+    private val protectCap by seconds("protect-cap", Tuning().protectCapS, "Longest protected minimum run time")
+    private val resize by seconds("resize", Tuning().resizeS, "How often slices are resized")
+    private val totals by seconds("totals", Tuning().totalsS, "How often team totals are written")
+    private val idle by seconds("idle", Tuning().idleS, "How long an empty machine is kept")
+    private val rehearse by option(help = "Stop after this time: the build records the classes that start-up loads", metavar = "SECONDS").double()
+
+    private fun seconds(
+        name: String,
+        value: Double,
+        help: String,
+    ) = option("--$name-s", envvar = "REEDMAST_${name.uppercase().replace('-', '_')}_S", help = "$help, in seconds (default $value)", metavar = "SECONDS")
+        .double()
+        .default(value)
+        .check("must be above 0") { it > 0 && it.isFinite() }
+
+    init {
+        versionOption(Reedmast::class.java.`package`?.implementationVersion ?: "development", names = setOf("--version"))
+    }
+
+    override fun help(context: Context): String =
+        "Runs one controller of a reedmast cluster. LOG_LEVEL (error, info, debug) says how much is logged to standard error."
+
+    override fun run() {
+        val settings =
+            try {
+                Settings.load(Path.of(config))
+            } catch (e: SettingsException) {
+                System.err.println("reedmast: ${e.message}")
+                throw ProgramResult(2)
+            }
+        val log = LoggerFactory.getLogger("main")
+        val desk = Desk(SystemClock, MAX_QUEUED)
+        val client = StateClient(settings.state, settings.stateLimits, settings.members.size, Caller(STATE_CONNECT_MS, STATE_READ_MS))
+        val out = RealOutward(settings, desk, client)
+        // Time of day and process start make charters of two lives of a node differ.
+        val charterPrefix = "${settings.label}-${java.lang.Long.toString(SystemClock.wall(), 36)}-${java.lang.Long.toString(System.nanoTime(), 36)}"
+        val controller = Controller(settings, Tuning(window, protectCap, resize, totals, idle), SystemClock, out, charterPrefix)
+        val node = Node(desk, controller)
+        try {
+            FrontDoor(settings, node).start()
+        } catch (e: IOException) {
+            System.err.println("reedmast: front ${settings.front}: ${e.message}")
+            throw ProgramResult(2)
+        }
+        out.start()
+        Watches(client, SystemClock, node).start()
+        log.info("{} listens on {}", settings.label, settings.front)
+        val deciding = RealOutward.startThread("desk") { desk.run(TICK_MS, node::tick) }
+        val limit = rehearse
+        if (limit == null) {
+            deciding.join()
+        } else {
+            Thread.sleep((limit * 1000).toLong())
+            // The HTTP server's own thread would keep the process alive.
+            exitProcess(0)
+        }
+    }
+
+    private companion object {
+        const val MAX_QUEUED = 256
+        const val TICK_MS = 250L
+        const val STATE_CONNECT_MS = 800
+        const val STATE_READ_MS = 2_500
+    }
+}
+
+private fun configureLogging() {
+    val asked = System.getenv("LOG_LEVEL")
+    val level = asked?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug") }
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level ?: "info")
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true")
+    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "HH:mm:ss.SSS")
+    if (asked != null && level == null) LoggerFactory.getLogger("main").warn("LOG_LEVEL {} is unknown; info is used", asked)
+}
+
+fun main(args: Array<String>) {
+    configureLogging()
+    Reedmast().main(args)
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -0,0 +1,162 @@
+package io.reedmast.app
+
+import io.reedmast.fleet.Leader
+import io.reedmast.jobs.JobDoor
+import io.reedmast.jobs.UserAnswer
+import io.reedmast.ownership.Cluster
+import io.reedmast.settings.Settings
+import io.reedmast.settings.Tuning
+import io.reedmast.state.Event
+import io.reedmast.state.Item
+import io.reedmast.wire.Flavor
+import io.reedmast.wire.JobSpec
+import io.reedmast.wire.Order
+import io.reedmast.wire.Report
+
+/** The answer to a worker's report. */
+sealed interface WorkerAnswer {
+    data class Orders(
+        val baton: Long,
+        val orders: List<Order>,
+    ) : WorkerAnswer
+
+    /** Another node answers this worker; null: nobody is known to. */
+    data class Elsewhere(
+        val label: String?,
+    ) : WorkerAnswer
+
+    data object Unavailable : WorkerAnswer
+}
+
+/** All the deciding parts of a controller, joined; used by one thread. */
+class Controller(
+    private val settings: Settings,
+    tuning: Tuning,
+    private val clock: Clock,
+    private val out: Outward,
+    charterPrefix: String,
+) {
+    private var flavors: Map<String, Flavor> = emptyMap()
+    private var flavorsAsked = false
+    private var flavorsDue = 0L
+    val cluster = Cluster(settings, tuning, clock, out) { flavors[it] }
+    private val leader = Leader(settings, tuning, clock, out, cluster, { flavors }, charterPrefix)
+    private val jobs = JobDoor(settings, clock, out, cluster) { flavors }
+
+    fun tick() {
+        askFlavors()
+        cluster.tick()
+        leader.tick()
+    }
+
+    private fun askFlavors() {
+        val now = clock.now()
+        if (flavorsAsked || now < flavorsDue) return
+        flavorsAsked = true
+        out.flavors { found ->
+            flavorsAsked = false
+            if (found == null || found.isEmpty()) {
+                flavorsDue = clock.now() + FLAVORS_RETRY_MS
+            } else {
+                flavorsDue = clock.now() + FLAVORS_EVERY_MS
+                flavors = found.associateBy { it.label }
+                cluster.owned().forEach {
+                    it.flavorsChanged()
+                    it.settle()
+                }
+            }
+        }
+    }
+
+    fun checkin(report: Report): WorkerAnswer {
+        if (!cluster.mayAnswerWorkers()) return WorkerAnswer.Unavailable
+        val slice = cluster.sliceOfHost(report.host)
+        if (slice == null) {
+            if (!cluster.leading) return WorkerAnswer.Elsewhere(cluster.leader)
+            leader.stranger(report)
+            return WorkerAnswer.Elsewhere(cluster.sliceOfHost(report.host)?.let { cluster.ownerOf(it) })
+        }
+        val owner = cluster.owners[slice.value]
+        if (owner == null || owner.dropped) return WorkerAnswer.Elsewhere(cluster.ownerOf(slice)?.takeIf { it != settings.label })
+        // While the slice is still being read, the answer shows the worker our token and renews its lease.
+        if (!owner.active) return WorkerAnswer.Orders(cluster.records[slice.value]?.record?.token ?: 0L, emptyList())
+        val orders = owner.checkin(report)
+        owner.settle()
+        return WorkerAnswer.Orders(owner.record.token, orders)
+    }
+
+    fun submit(
+        spec: JobSpec,
+        answer: (UserAnswer) -> Unit,
+    ) = jobs.submit(spec, answer)
+
+    fun poll(
+        ref: String,
+        answer: (UserAnswer) -> Unit,
+    ) = jobs.poll(ref, answer)
+
+    fun abort(
+        ref: String,
+        answer: (UserAnswer) -> Unit,
+    ) = jobs.abort(ref, answer)
+
+    fun healthy(): Boolean = cluster.ready && cluster.fresh() && flavors.isNotEmpty()
+
+    private companion object {
+        const val FLAVORS_EVERY_MS = 60_000L
+        const val FLAVORS_RETRY_MS = 2_000L
+    }
+}
+
+/** What the threads at the door and at the watches may ask of the deciding thread. */
+class Node(
+    private val desk: Desk,
+    private val controller: Controller,
+) {
+    @Volatile
+    private var healthyNow = false
+
+    fun healthy(): Boolean = healthyNow
+
+    fun tick() {
+        controller.tick()
+        healthyNow = controller.healthy()
+    }
+
+    fun checkin(
+        report: Report,
+        answer: (WorkerAnswer) -> Unit,
+    ): Boolean = desk.offer(Urgency.REPORT) { answer(controller.checkin(report)) }
+
+    fun submit(
+        spec: JobSpec,
+        answer: (UserAnswer) -> Unit,
+    ): Boolean = desk.offer(Urgency.SUBMISSION) { controller.submit(spec, answer) }
+
+    fun poll(
+        ref: String,
+        answer: (UserAnswer) -> Unit,
+    ): Boolean = desk.offer(Urgency.SUBMISSION) { controller.poll(ref, answer) }
+
+    fun abort(
+        ref: String,
+        answer: (UserAnswer) -> Unit,
+    ): Boolean = desk.offer(Urgency.SUBMISSION) { controller.abort(ref, answer) }
+
+    fun snapshot(
+        items: List<Item>,
+        askedAt: Long,
+    ) = desk.post { controller.cluster.snapshot(items, askedAt) }
+
+    fun clusterEvents(
+        events: List<Event>,
+        askedAt: Long,
+    ) = desk.post { controller.cluster.clusterEvents(events, askedAt) }
+
+    fun refEvents(
+        events: List<Event>,
+        askedAt: Long,
+    ) = desk.post { controller.cluster.refEvents(events, askedAt) }
+
+    fun refsLost() = desk.post { controller.cluster.refsLost() }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/app/Outward.kt
@@ -0,0 +1,103 @@
+package io.reedmast.app
+
+import io.reedmast.fleet.Rental
+import io.reedmast.state.Change
+import io.reedmast.state.Fetched
+import io.reedmast.state.Item
+import io.reedmast.wire.Flavor
+import io.reedmast.wire.ListedHost
+import io.reedmast.wire.Order
+import io.reedmast.wire.Reply
+
+/** Steady time and time of day, both in milliseconds. */
+interface Clock {
+    fun now(): Long
+
+    fun wall(): Long
+}
+
+/** What a rental request came to. */
+sealed interface Rented {
+    data class Hosts(
+        val names: List<String>,
+    ) : Rented
+
+    data object NoCapacity : Rented
+
+    /** Nothing is known, or nothing was done: the same request may be sent again. */
+    data object Failed : Rented
+}
+
+/**
+ * Everything the deciding thread asks of the world. No call waits: each answers later, on the deciding thread.
+ *
+ * The real one hands calls to threads that do the I/O; tests have one of their own.
+ */
+interface Outward {
+    /** False if refused because too much waits already; only a [refusable] change can be. */
+    fun commit(
+        change: Change,
+        refusable: Boolean = false,
+    ): Boolean
+
+    /** False while the state service is known not to take changes. */
+    val stateAnswers: Boolean
+
+    fun get(
+        path: String,
+        done: (Fetched) -> Unit,
+    )
+
+    fun list(
+        prefix: String,
+        done: (List<Item>?) -> Unit,
+    )
+
+    /** Sends commands to a worker directly. */
+    fun direct(
+        addr: String,
+        baton: Long,
+        tenure: Long,
+        orders: List<Order>,
+        done: (Reply) -> Unit,
+    )
+
+    fun rent(
+        rental: Rental,
+        done: (Rented) -> Unit,
+    )
+
+    /** Returns machines; true only if the cloud has confirmed that they are gone. */
+    fun giveBack(
+        hosts: List<String>,
+        done: (Boolean) -> Unit,
+    )
+
+    fun listHosts(done: (List<ListedHost>?) -> Unit)
+
+    fun flavors(done: (List<Flavor>?) -> Unit)
+
+    fun extendLease(
+        lease: Long?,
+        lifeMs: Long,
+        done: (LeaseState) -> Unit,
+    )
+
+    /** How many nodes share the limits of state service and cloud. */
+    fun shareLimits(
+        aliveNodes: Int,
+        leading: Boolean,
+    )
+}
+
+/** A lease of this node after an attempt to renew it, or to get a new one. */
+sealed interface LeaseState {
+    data class Held(
+        val lease: Long,
+        val fresh: Boolean,
+    ) : LeaseState
+
+    data object Lost : LeaseState
+
+    data object Unknown : LeaseState
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/app/RealOutward.kt
@@ -0,0 +1,238 @@
+package io.reedmast.app
+
+import com.google.common.util.concurrent.RateLimiter
+import com.google.common.util.concurrent.ThreadFactoryBuilder
+import io.reedmast.fleet.Rental
+import io.reedmast.settings.Settings
+import io.reedmast.state.Change
+import io.reedmast.state.Committer
+import io.reedmast.state.Fetched
+import io.reedmast.state.Item
+import io.reedmast.state.StateClient
+import io.reedmast.wire.Caller
+import io.reedmast.wire.Flavor
+import io.reedmast.wire.ListedHost
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Order
+import io.reedmast.wire.Reply
+import io.reedmast.wire.flag
+import io.reedmast.wire.maps
+import io.reedmast.wire.optionalTexts
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/** Hands calls to small pools of threads and brings their results back to the deciding thread. */
+class RealOutward(
+    private val settings: Settings,
+    private val desk: Desk,
+    private val client: StateClient,
+) : Outward {
+    private val log = LoggerFactory.getLogger("cloud")
+    private val committer =
+        Committer(client, settings.stateLimits, MAX_SUBMISSIONS_QUEUED) { change, outcome -> desk.post { change.done(outcome) } }
+    private val reads = pool("read", READ_THREADS, READS_QUEUED)
+    private val leases = pool("lease", 1, 4)
+    private val directs = pool("direct", DIRECT_THREADS, DIRECTS_QUEUED)
+    private val cloudCalls = pool("cloud", 2, CLOUD_QUEUED)
+    private val workerCaller = Caller(WORKER_CONNECT_MS, WORKER_READ_MS)
+    private val cloudCaller = Caller(CLOUD_CONNECT_MS, CLOUD_READ_MS)
+    private val cloudLimit = RateLimiter.create(settings.cloudLimits.requestsPerS / settings.members.size)
+
+    override val stateAnswers: Boolean get() = committer.answering
+
+    fun start() {
+        repeat(COMMIT_THREADS) { startThread("commit-$it", committer::run) }
+    }
+
+    override fun commit(
+        change: Change,
+        refusable: Boolean,
+    ): Boolean = committer.offer(change, refusable)
+
+    override fun get(
+        path: String,
+        done: (Fetched) -> Unit,
+    ) = call(reads, { client.get(path) }, Fetched.Failed, done)
+
+    override fun list(
+        prefix: String,
+        done: (List<Item>?) -> Unit,
+    ) = call(reads, { client.list(prefix)?.first }, null, done)
+
+    override fun direct(
+        addr: String,
+        baton: Long,
+        tenure: Long,
+        orders: List<Order>,
+        done: (Reply) -> Unit,
+    ) {
+        val body = mapOf("baton" to baton, "tenure" to tenure, "orders" to orders.map { it.toFields() })
+        call(directs, { workerCaller.call("POST", addr, "/do", body) }, Reply.NotSent("too many calls"), done)
+    }
+
+    override fun rent(
+        rental: Rental,
+        done: (Rented) -> Unit,
+    ) {
+        val body =
+            mapOf(
+                "charter" to rental.charter,
+                "build" to rental.build,
+                "yard" to rental.yard,
+                "driftwood" to rental.driftwood,
+                "count" to rental.count,
+            )
+        call(cloudCalls, { rented(cloud("POST", "/machines", body)) }, Rented.Failed, done)
+    }
+
+    private fun rented(reply: Reply): Rented {
+        if (reply !is Reply.Answer) return Rented.Failed
+        return when (reply.status) {
+            200 -> reading { Rented.Hosts(reply.body.optionalTexts("hosts").orEmpty()) } ?: Rented.Failed
+            503 -> if (reply.body["error"] == "no capacity") Rented.NoCapacity else Rented.Failed
+            400 -> Rented.NoCapacity
+            else -> Rented.Failed
+        }
+    }
+
+    override fun giveBack(
+        hosts: List<String>,
+        done: (Boolean) -> Unit,
+    ) = call(
+        cloudCalls,
+        { (cloud("POST", "/machines/return", mapOf("hosts" to hosts)) as? Reply.Answer)?.status == 200 },
+        false,
+        done,
+    )
+
+    override fun listHosts(done: (List<ListedHost>?) -> Unit) = call(cloudCalls, ::allHosts, null, done)
+
+    private fun allHosts(): List<ListedHost>? {
+        val hosts = ArrayList<ListedHost>()
+        while (true) {
+            val after = hosts.lastOrNull()?.let { "after=${it.name}&" }.orEmpty()
+            val reply = cloud("GET", "/machines?${after}most=$HOSTS_PER_PAGE") as? Reply.Answer ?: return null
+            if (reply.status != 200) return null
+            val more =
+                reading {
+                    hosts.addAll(reply.body.maps("hosts").map { ListedHost.parse(it) })
+                    reply.body.flag("more")
+                } ?: return null
+            if (!more) return hosts
+        }
+    }
+
+    override fun flavors(done: (List<Flavor>?) -> Unit) =
+        call(
+            cloudCalls,
+            { (cloud("GET", "/flavors") as? Reply.Answer)?.takeIf { it.status == 200 }?.let { reading { Flavor.parseAll(it.body) } } },
+            null,
+            done,
+        )
+
+    override fun extendLease(
+        lease: Long?,
+        lifeMs: Long,
+        done: (LeaseState) -> Unit,
+    ) = call(
+        leases,
+        {
+            if (lease == null) {
+                client.lease(lifeMs)?.let { LeaseState.Held(it, fresh = true) } ?: LeaseState.Unknown
+            } else {
+                when (client.extend(lease)) {
+                    true -> LeaseState.Held(lease, fresh = false)
+                    false -> LeaseState.Lost
+                    null -> LeaseState.Unknown
+                }
+            }
+        },
+        LeaseState.Unknown,
+        done,
+    )
+
+    override fun shareLimits(
+        aliveNodes: Int,
+        leading: Boolean,
+    ) {
+        client.shareAmong(aliveNodes)
+        // The leader rents and lists; the others only return machines.
+        val part = if (aliveNodes == 1) 1.0 else if (leading) LEADERS_PART else (1.0 - LEADERS_PART) / (aliveNodes - 1)
+        cloudLimit.rate = settings.cloudLimits.requestsPerS * part * SAFETY
+    }
+
+    private fun cloud(
+        method: String,
+        path: String,
+        body: Map<String, Any?>? = null,
+    ): Reply {
+        if (!cloudLimit.tryAcquire(CLOUD_PATIENCE_S, TimeUnit.SECONDS)) return Reply.NotSent("over this node's part of the limit")
+        val reply = cloudCaller.call(method, settings.cloud, path, body)
+        if (reply !is Reply.Answer || reply.status != 200) log.info("{} {}: {}", method, path, reply)
+        return reply
+    }
+
+    private inline fun <T> reading(read: () -> T): T? =
+        try {
+            read()
+        } catch (e: MalformedException) {
+            log.error("the cloud answers nonsense: {}", e.message)
+            null
+        }
+
+    private fun <T> call(
+        pool: ThreadPoolExecutor,
+        ask: () -> T,
+        refused: T,
+        done: (T) -> Unit,
+    ) {
+        try {
+            pool.execute {
+                val result = ask()
+                desk.post { done(result) }
+            }
+        } catch (e: RejectedExecutionException) {
+            desk.post { done(refused) }
+        }
+    }
+
+    companion object {
+        private const val COMMIT_THREADS = 2
+        private const val MAX_SUBMISSIONS_QUEUED = 64
+        private const val READ_THREADS = 4
+        private const val READS_QUEUED = 200
+        private const val DIRECT_THREADS = 10
+        private const val DIRECTS_QUEUED = 100
+        private const val CLOUD_QUEUED = 40
+        private const val WORKER_CONNECT_MS = 800
+        private const val WORKER_READ_MS = 2500
+        private const val CLOUD_CONNECT_MS = 2000
+        private const val CLOUD_READ_MS = 6000
+        private const val CLOUD_PATIENCE_S = 10L
+        private const val HOSTS_PER_PAGE = 500
+        private const val LEADERS_PART = 0.6
+        private const val SAFETY = 0.95
+
+        fun pool(
+            name: String,
+            threads: Int,
+            queued: Int,
+        ): ThreadPoolExecutor =
+            ThreadPoolExecutor(
+                threads,
+                threads,
+                30,
+                TimeUnit.SECONDS,
+                ArrayBlockingQueue(queued),
+                ThreadFactoryBuilder().setNameFormat("$name-%d").setDaemon(true).build(),
+            ).apply { allowCoreThreadTimeOut(true) }
+
+        fun startThread(
+            name: String,
+            body: () -> Unit,
+        ): Thread = Thread(body, name).apply { isDaemon = true }.also { it.start() }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/fairshare/Usage.kt
@@ -0,0 +1,107 @@
+package io.reedmast.fairshare
+
+import io.reedmast.settings.TeamIndex
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Rank
+import java.util.TreeMap
+
+/**
+ * Charged use of the teams of a slice over a sliding window, in buckets of time of day.
+ *
+ * A task is charged, for each second, its largest share of its machine. Best-effort work has no protected minimum and is
+ * not charged.
+ */
+class Usage(
+    private val windowMs: Long,
+) {
+    private val bucketMs = maxOf(1L, windowMs / BUCKETS)
+    private val charged = HashMap<TeamIndex, TreeMap<Long, Double>>()
+
+    fun charge(
+        team: TeamIndex,
+        machineSeconds: Double,
+        nowMs: Long,
+    ) {
+        charged.getOrPut(team) { TreeMap() }.merge(nowMs / bucketMs, machineSeconds, Double::plus)
+    }
+
+    /** Machine seconds charged to [team] within the window; the oldest bucket counts by the part still inside. */
+    fun within(
+        team: TeamIndex,
+        nowMs: Long,
+    ): Double {
+        val buckets = charged[team] ?: return 0.0
+        val edge = nowMs - windowMs
+        buckets.headMap(Math.floorDiv(edge, bucketMs)).clear()
+        var sum = 0.0
+        for ((bucket, amount) in buckets) {
+            val begin = bucket * bucketMs
+            sum += if (begin >= edge) amount else amount * (begin + bucketMs - edge) / bucketMs
+        }
+        return sum
+    }
+
+    fun toFields(teams: Collection<TeamIndex>): Fields =
+        teams.filter { it in charged }.associate { team ->
+            team.value.toString() to charged.getValue(team).flatMap { listOf(it.key, it.value) }
+        }
+
+    /** Takes up stored totals in place of what is known of their teams. */
+    fun load(fields: Fields) {
+        for ((team, flat) in fields) {
+            val index = team.toIntOrNull() ?: throw MalformedException("usage names no team: $team")
+            val numbers = flat as? List<*> ?: throw MalformedException("usage of team $team is no list")
+            val buckets = TreeMap<Long, Double>()
+            for (i in 0 until numbers.size - 1 step 2) {
+                val bucket = numbers[i] as? Long ?: throw MalformedException("usage of team $team names no bucket")
+                buckets[bucket] = (numbers[i + 1] as? Number)?.toDouble() ?: throw MalformedException("usage of team $team is no number")
+            }
+            charged[TeamIndex(index)] = buckets
+        }
+    }
+
+    private companion object {
+        const val BUCKETS = 36
+    }
+}
+
+/** Work of the lowest rank declares no minimum run time: it is not charged, and any funded request may take its place. */
+val Rank.funded: Boolean get() = this != Rank.BEST_EFFORT
+
+/** What [mayYield] needs to know of a running task. */
+data class Runner(
+    val rank: Rank,
+    val resumable: Boolean,
+    val sameTeam: Boolean,
+    val ranForS: Double,
+    val minimumS: Double,
+    /** Whether the team runs more than its guarantee. */
+    val teamBeyondGuarantee: Boolean,
+    val teamRatio: Double,
+)
+
+/** What [mayYield] needs to know of a waiting request. */
+data class Request(
+    val rank: Rank,
+    val withinGuarantee: Boolean,
+    val teamRatio: Double,
+)
+
+/**
+ * Whether [runner] may be stopped to make room for [request], where both the design and the protocol permit it.
+ *
+ * The design lets uncharged work yield to any funded request, and resumable work past its minimum to a team further below
+ * its share. The protocol asks that the request have a higher rank, or that it be within its team's guarantee and the
+ * runner beyond its own.
+ */
+fun mayYield(
+    runner: Runner,
+    request: Request,
+): Boolean {
+    if (!request.rank.funded) return false
+    val protocol = request.rank < runner.rank || (!runner.sameTeam && request.withinGuarantee && runner.teamBeyondGuarantee)
+    if (!protocol) return false
+    if (!runner.rank.funded) return true
+    return runner.resumable && !runner.sameTeam && runner.ranForS >= runner.minimumS && request.teamRatio < runner.teamRatio
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/settings/Settings.kt
@@ -0,0 +1,252 @@
+package io.reedmast.settings
+
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Tree
+import io.reedmast.wire.amount
+import io.reedmast.wire.count
+import io.reedmast.wire.map
+import io.reedmast.wire.maps
+import io.reedmast.wire.optionalAmount
+import io.reedmast.wire.text
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The settings cannot be used; the message names the field. */
+class SettingsException(
+    message: String,
+) : Exception(message)
+
+/** Names of teams, zones, nodes and slices are dense indices from here on. */
+@JvmInline
+value class TeamIndex(
+    val value: Int,
+)
+
+@JvmInline
+value class ZoneIndex(
+    val value: Int,
+)
+
+@JvmInline
+value class NodeIndex(
+    val value: Int,
+)
+
+@JvmInline
+value class SliceIndex(
+    val value: Int,
+)
+
+/** [maxCpus] and [maxGpus] are limits on what runs at any time; 0 means none. */
+data class TeamShare(
+    val name: String,
+    val cpus: Double,
+    val maxCpus: Double,
+    val gpus: Double,
+    val maxGpus: Double,
+)
+
+data class Member(
+    val label: String,
+    val address: InetSocketAddress,
+)
+
+data class WorkerRules(
+    val reportS: Double,
+    val leaseS: Double,
+    val cancelS: Double,
+)
+
+data class StateLimits(
+    val requestsPerS: Double,
+    val writesPerS: Double,
+    val valueBytes: Int,
+    val opsPerCommit: Int,
+)
+
+data class CloudLimits(
+    val requestsPerS: Double,
+    val listLagS: Double,
+)
+
+data class Objective(
+    val kind: String,
+    val lot: String?,
+    val withinS: Double?,
+)
+
+/** What the platform hands over. [members] has every node in name order, so all nodes agree on their indices. */
+data class Settings(
+    val label: String,
+    val front: InetSocketAddress,
+    val clusterListen: InetSocketAddress,
+    val members: List<Member>,
+    val self: NodeIndex,
+    val cloud: String,
+    val state: String,
+    val zones: List<String>,
+    val teams: List<TeamShare>,
+    val objectives: List<Objective>,
+    val workers: WorkerRules,
+    val stateLimits: StateLimits,
+    val cloudLimits: CloudLimits,
+    val maxConnections: Int,
+) {
+    val teamsByName: Map<String, TeamIndex> = teams.withIndex().associate { (i, team) -> team.name to TeamIndex(i) }
+
+    /** As many slices as nodes; teams are dealt out to them in turn. */
+    val slices: Int get() = members.size
+
+    fun sliceOf(team: TeamIndex) = SliceIndex(team.value % slices)
+
+    companion object {
+        fun load(file: Path): Settings {
+            val bytes =
+                try {
+                    Files.readAllBytes(file)
+                } catch (e: IOException) {
+                    throw SettingsException("cannot read settings file $file: ${e.message}")
+                }
+            val root =
+                try {
+                    Tree.readJson(bytes)
+                } catch (e: MalformedException) {
+                    throw SettingsException("$file is not a JSON map: ${e.message}")
+                }
+            return parse(root)
+        }
+
+        fun parse(root: Fields): Settings {
+            val label = at("") { root.text("label") }
+            if (label.isEmpty()) throw SettingsException("label is empty")
+            val front = at("") { address("front", root.text("front")) }
+            val clusterListen = at("") { address("cluster_listen", root.text("cluster_listen")) }
+            val seeds = (if (root["seeds"] == null) emptyList() else at("") { root.maps("seeds") })
+            val others =
+                seeds.mapIndexed { i, seed ->
+                    at("seeds[$i].") { Member(seed.text("label"), address("endpoint", seed.text("endpoint"))) }
+                }
+            val members = (others + Member(label, clusterListen)).sortedBy { it.label }
+            if (members.map { it.label }.toSet().size != members.size) throw SettingsException("seeds name a label twice")
+            val outside = at("") { root.map("outside") }
+            val facts = at("") { root.map("facts") }
+            val nodes = at("facts.") { facts.count("nodes") }
+            if (nodes != members.size.toLong()) {
+                throw SettingsException("facts.nodes is $nodes, but label and seeds name ${members.size} nodes")
+            }
+            val workers = at("facts.") { facts.map("workers") }
+            val rules =
+                at("facts.workers.") {
+                    WorkerRules(positive(workers, "report_s"), positive(workers, "lease_s"), positive(workers, "cancel_s"))
+                }
+            if (rules.cancelS <= rules.leaseS) throw SettingsException("facts.workers.cancel_s must be above lease_s")
+            val state = at("facts.") { facts.map("state") }
+            val stateLimits =
+                at("facts.state.") {
+                    StateLimits(
+                        positive(state, "rps"),
+                        positive(state, "write_rps"),
+                        (positive(state, "value_kb") * 1024).toInt(),
+                        positive(state, "txn_ops").toInt(),
+                    )
+                }
+            if (stateLimits.opsPerCommit < 4) throw SettingsException("facts.state.txn_ops must be at least 4")
+            val cloud = at("facts.") { facts.map("cloud") }
+            val cloudLimits = at("facts.cloud.") { CloudLimits(positive(cloud, "rps"), cloud.amount("list_lag_s")) }
+            val connections = (facts["resources"]?.let { at("facts.") { facts.map("resources") } })?.optionalAmountOr("max_connections", 1000.0) ?: 1000.0
+            return Settings(
+                label = label,
+                front = front,
+                clusterListen = clusterListen,
+                members = members,
+                self = NodeIndex(members.indexOfFirst { it.label == label }),
+                cloud = at("outside.") { outside.text("cloud").also { address("cloud", it) } },
+                state = at("outside.") { outside.text("state").also { address("state", it) } },
+                zones = at("facts.") { facts.list("zones").map { it as? String ?: throw MalformedException("zones holds something that is not text") } },
+                teams = teams(facts),
+                objectives = objectives(facts),
+                workers = rules,
+                stateLimits = stateLimits,
+                cloudLimits = cloudLimits,
+                maxConnections = connections.toInt(),
+            )
+        }
+
+        private fun Fields.list(name: String): List<Any?> = this[name] as? List<*> ?: throw MalformedException("$name is missing or not a list")
+
+        private fun Fields.optionalAmountOr(
+            name: String,
+            other: Double,
+        ): Double = at("facts.resources.") { optionalAmount(name) ?: other }
+
+        private fun teams(facts: Fields): List<TeamShare> {
+            val list = at("facts.") { facts.maps("teams") }
+            if (list.isEmpty()) throw SettingsException("facts.teams is empty")
+            val teams =
+                list.mapIndexed { i, team ->
+                    at("facts.teams[$i].") {
+                        TeamShare(
+                            team.text("name"),
+                            team.amount("cpus"),
+                            team.optionalAmount("cpus_max") ?: 0.0,
+                            team.optionalAmount("gpus") ?: 0.0,
+                            team.optionalAmount("gpus_max") ?: 0.0,
+                        )
+                    }
+                }
+            if (teams.map { it.name }.toSet().size != teams.size) throw SettingsException("facts.teams names a team twice")
+            return teams
+        }
+
+        private fun objectives(facts: Fields): List<Objective> =
+            if (facts["objectives"] == null) {
+                emptyList()
+            } else {
+                at("facts.") { facts.maps("objectives") }.mapIndexed { i, it ->
+                    at("facts.objectives[$i].") {
+                        Objective(it.text("kind"), it["class"] as? String, it.optionalAmount("within_s"))
+                    }
+                }
+            }
+
+        private fun positive(
+            fields: Fields,
+            name: String,
+        ): Double {
+            val value = fields.amount(name)
+            if (value <= 0.0) throw MalformedException("$name must be above 0")
+            return value
+        }
+
+        private fun address(
+            name: String,
+            text: String,
+        ): InetSocketAddress {
+            val colon = text.lastIndexOf(':')
+            val port = if (colon > 0) text.substring(colon + 1).toIntOrNull() else null
+            val host = if (colon > 0) text.substring(0, colon) else ""
+            // By IP numbers only: a name would be looked up, and there may be nobody to ask.
+            if (port == null || port !in 1..65535 || !host.matches(Regex("[0-9]{1,3}(\\.[0-9]{1,3}){3}"))) {
+                throw MalformedException("$name is not an address of the form 10.0.0.1:8080: $text")
+            }
+            return try {
+                InetSocketAddress(host, port)
+            } catch (e: IllegalArgumentException) {
+                throw MalformedException("$name is not an address: ${e.message}")
+            }
+        }
+
+        private inline fun <T> at(
+            prefix: String,
+            read: () -> T,
+        ): T =
+            try {
+                read()
+            } catch (e: MalformedException) {
+                throw SettingsException(prefix + e.message)
+            }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/settings/Tuning.kt
@@ -0,0 +1,15 @@
+package io.reedmast.settings
+
+/** What the operators may tune; each is a flag and a variable, with these defaults. */
+data class Tuning(
+    /** The sliding window over which charged use is counted. */
+    val windowS: Double = 6 * 3600.0,
+    /** The longest protected minimum run time. */
+    val protectCapS: Double = 30 * 60.0,
+    /** How often the leader resizes slices. */
+    val resizeS: Double = 30.0,
+    /** How often owners write team totals. */
+    val totalsS: Double = 5.0,
+    /** How long an empty machine is kept before it is returned. */
+    val idleS: Double = 45.0,
+)
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/state/Committer.kt
@@ -0,0 +1,152 @@
+package io.reedmast.state
+
+import io.reedmast.settings.StateLimits
+import io.reedmast.wire.Tree
+import org.slf4j.LoggerFactory
+import java.util.ArrayDeque
+import java.util.concurrent.ThreadLocalRandom
+
+/**
+ * Sends changes to the state service, several in one transaction where they fit.
+ *
+ * A change stays here until what became of it is certain. One that got no answer is sent again as it was: its guards
+ * keep it from being applied twice, and if the second copy fails, the keys are read to see whether the first copy had
+ * been applied.
+ */
+class Committer(
+    private val client: StateClient,
+    private val limits: StateLimits,
+    private val maxQueued: Int,
+    private val deliver: (Change, Outcome) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("state")
+    private val lock = Object()
+    private val queue = ArrayDeque<Change>()
+
+    @Volatile
+    private var lastAnswered = true
+
+    /** False while the state service does not take changes: new submissions need not wait to find out. */
+    val answering: Boolean get() = lastAnswered
+
+    /** False if the queue is full; only changes asked for from outside may be refused. */
+    fun offer(
+        change: Change,
+        refusable: Boolean,
+    ): Boolean {
+        synchronized(lock) {
+            if (refusable && queue.size >= maxQueued) return false
+            queue.add(change)
+            lock.notify()
+        }
+        return true
+    }
+
+    /** The body of a committing thread. */
+    fun run() {
+        while (!Thread.currentThread().isInterrupted) settle(takeBatch())
+    }
+
+    private fun takeBatch(): List<Change> {
+        synchronized(lock) {
+            while (queue.isEmpty()) lock.wait()
+            val batch = ArrayList<Change>()
+            var ops = 0
+            var bytes = 0
+            val guards = HashMap<String, Long>()
+            val written = HashSet<String>()
+            while (queue.isNotEmpty()) {
+                val next = queue.peek()
+                val size = next.writes.sumOf { if (it is Write.Put) Tree.jsonSize(it.value) + it.path.length else it.path.length } + next.guards.size * GUARD_BYTES
+                val newGuards = next.guards.count { it.path !in guards }
+                // Two changes that disagree about a key, or write the same one, cannot share a transaction.
+                val clash = next.guards.any { g -> guards[g.path]?.let { it != g.stamp } ?: false } || next.guards.any { it.path in written } || next.writes.any { it.path in guards }
+                val fits = ops + next.writes.size <= limits.opsPerCommit && guards.size + newGuards <= limits.opsPerCommit * 4 && bytes + size <= MAX_BYTES
+                if (batch.isNotEmpty() && (clash || !fits)) break
+                queue.poll()
+                batch.add(next)
+                ops += next.writes.size
+                bytes += size
+                next.guards.forEach { guards[it.path] = it.stamp }
+                next.writes.forEach { written.add(it.path) }
+            }
+            return batch
+        }
+    }
+
+    private fun settle(first: List<Change>) {
+        var batch = first
+        var unsure = false
+        var pause = FIRST_PAUSE_MS
+        while (batch.isNotEmpty()) {
+            val guards = batch.flatMap { it.guards }.distinct()
+            val reply = client.commit(guards, batch.flatMap { it.writes })
+            when (reply) {
+                is CommitReply.Applied -> {
+                    lastAnswered = true
+                    batch.forEach { deliver(it, Outcome.Applied(reply.epoch)) }
+                    return
+                }
+
+                is CommitReply.Failed -> {
+                    lastAnswered = true
+                    if (unsure) {
+                        val epoch = appliedBefore(batch)
+                        if (epoch == null) {
+                            Thread.sleep(pause)
+                            continue
+                        }
+                        if (epoch > 0) {
+                            batch.forEach { deliver(it, Outcome.Applied(epoch)) }
+                            return
+                        }
+                    }
+                    val (failed, rest) = batch.partition { change -> change.guards.any { it.path in reply.paths } }
+                    failed.forEach { change -> deliver(change, Outcome.Conflict(reply.paths)) }
+                    if (failed.isEmpty()) {
+                        log.error("the state service refused a transaction without naming one of its keys")
+                        batch.forEach { deliver(it, Outcome.Conflict(reply.paths)) }
+                        return
+                    }
+                    batch = rest
+                    unsure = false
+                }
+
+                is CommitReply.Bad -> {
+                    lastAnswered = true
+                    log.info("the state service finds a transaction malformed: {}", reply.reason)
+                    if (batch.size == 1) {
+                        deliver(batch[0], Outcome.Refused(reply.reason))
+                        return
+                    }
+                    batch.forEach { settle(listOf(it)) }
+                    return
+                }
+
+                is CommitReply.NotExecuted, is CommitReply.Unknown -> {
+                    if (reply is CommitReply.Unknown) unsure = true
+                    lastAnswered = false
+                    Thread.sleep(pause / 2 + ThreadLocalRandom.current().nextLong(pause / 2 + 1))
+                    pause = minOf(pause * 2, MAX_PAUSE_MS)
+                }
+            }
+        }
+    }
+
+    /** After a missing answer and a failed repeat: the epoch of the first copy, 0 if it was not applied, null if unknown. */
+    private fun appliedBefore(batch: List<Change>): Long? {
+        val write = batch.first().writes.first()
+        return when (val now = client.get(write.path)) {
+            is Fetched.Failed -> null
+            is Fetched.Missing -> if (write is Write.Delete) 1L else 0L
+            is Fetched.Found -> if (write is Write.Put && sameValue(write.value, now.item.value)) now.item.stamp else 0L
+        }
+    }
+
+    private companion object {
+        const val MAX_BYTES = 56 * 1024
+        const val GUARD_BYTES = 80
+        const val FIRST_PAUSE_MS = 50L
+        const val MAX_PAUSE_MS = 800L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/state/StateClient.kt
@@ -0,0 +1,218 @@
+package io.reedmast.state
+
+import com.google.common.util.concurrent.RateLimiter
+import io.reedmast.settings.StateLimits
+import io.reedmast.wire.Caller
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Reply
+import io.reedmast.wire.asFields
+import io.reedmast.wire.count
+import io.reedmast.wire.flag
+import io.reedmast.wire.map
+import io.reedmast.wire.maps
+import io.reedmast.wire.optionalTexts
+import io.reedmast.wire.text
+import org.slf4j.LoggerFactory
+import java.net.URLEncoder
+import java.util.concurrent.TimeUnit
+
+/** One change of a watched prefix; a null [value] is a deletion. */
+data class Event(
+    val path: String,
+    val value: Fields?,
+    val stamp: Long,
+)
+
+sealed interface Watched {
+    data class Events(
+        val epoch: Long,
+        val events: List<Event>,
+    ) : Watched
+
+    /** The service has dropped the changes asked for: read the keys again. */
+    data object TooOld : Watched
+
+    data object Failed : Watched
+}
+
+sealed interface CommitReply {
+    data class Applied(
+        val epoch: Long,
+    ) : CommitReply
+
+    data class Failed(
+        val paths: Set<String>,
+    ) : CommitReply
+
+    data class Bad(
+        val reason: String,
+    ) : CommitReply
+
+    /** Certainly not executed: worth sending again after a pause. */
+    data object NotExecuted : CommitReply
+
+    /** May have been executed, or may yet be. */
+    data object Unknown : CommitReply
+}
+
+/** Blocking calls to the state service, kept within this node's part of its limits. */
+class StateClient(
+    private val address: String,
+    private val limits: StateLimits,
+    nodes: Int,
+    private val caller: Caller,
+) {
+    private val log = LoggerFactory.getLogger("state")
+    private val requests = RateLimiter.create(limits.requestsPerS * SAFETY / nodes)
+    private val changes = RateLimiter.create(limits.writesPerS * SAFETY / nodes)
+
+    /** Nodes that are down leave their part of the limits to the others. */
+    fun shareAmong(nodes: Int) {
+        requests.rate = limits.requestsPerS * SAFETY / nodes
+        changes.rate = limits.writesPerS * SAFETY / nodes
+    }
+
+    fun get(path: String): Fetched {
+        val reply = ask("GET", "/kv/$path")
+        if (reply !is Reply.Answer) return Fetched.Failed
+        return reading(Fetched.Failed) {
+            when (reply.status) {
+                200 -> Fetched.Found(Item(reply.body.text("path"), reply.body.map("v"), reply.body.count("stamp")))
+                404 -> Fetched.Missing
+                else -> Fetched.Failed
+            }
+        }
+    }
+
+    /** All keys with the prefix and the epoch of the first page, or null if they could not be read. */
+    fun list(prefix: String): Pair<List<Item>, Long>? {
+        val items = ArrayList<Item>()
+        var epoch = -1L
+        var after: String? = null
+        while (true) {
+            val tail = if (after == null) "" else "&after=${encode(after)}"
+            val reply = ask("GET", "/kv?prefix=${encode(prefix)}$tail&most=$PAGE") as? Reply.Answer ?: return null
+            if (reply.status != 200) return null
+            val more =
+                reading(null) {
+                    reply.body.maps("pairs").forEach { items.add(Item(it.text("path"), it.map("v"), it.count("stamp"))) }
+                    if (epoch < 0) epoch = reply.body.count("epoch")
+                    reply.body.flag("more")
+                } ?: return null
+            if (!more) return items to epoch
+            after = items.lastOrNull()?.path ?: return null
+        }
+    }
+
+    fun commit(
+        guards: Collection<Guard>,
+        writes: List<Write>,
+    ): CommitReply {
+        if (writes.isNotEmpty() && !changes.tryAcquire(writes.size, PATIENCE_MS, TimeUnit.MILLISECONDS)) return CommitReply.NotExecuted
+        val body =
+            mapOf(
+                "when" to guards.map { mapOf("path" to it.path, "stamp" to it.stamp) },
+                "writes" to
+                    writes.map {
+                        when (it) {
+                            is Write.Put -> if (it.lease == null) mapOf("put" to it.path, "v" to it.value) else mapOf("put" to it.path, "v" to it.value, "holding" to it.lease)
+                            is Write.Delete -> mapOf("delete" to it.path)
+                        }
+                    },
+            )
+        return when (val reply = ask("POST", "/commit", body)) {
+            is Reply.NotSent -> CommitReply.NotExecuted
+            is Reply.Unanswered -> CommitReply.Unknown
+            is Reply.Answer ->
+                reading<CommitReply>(CommitReply.Unknown) {
+                    when (reply.status) {
+                        200 -> CommitReply.Applied(reply.body.count("epoch"))
+                        409 -> CommitReply.Failed(reply.body.optionalTexts("failed").orEmpty().toSet())
+                        400 -> CommitReply.Bad(reply.body["error"].toString())
+                        429, 503 -> CommitReply.NotExecuted
+                        else -> CommitReply.Unknown
+                    }
+                }
+        }
+    }
+
+    /** A new lease, or null. */
+    fun lease(lifeMs: Long): Long? {
+        val reply = ask("POST", "/leases", mapOf("lifeMs" to lifeMs)) as? Reply.Answer ?: return null
+        return if (reply.status == 200) reading(null) { reply.body.count("holding") } else null
+    }
+
+    /** True: renewed. False: the lease has ended. Null: not known. */
+    fun extend(lease: Long): Boolean? {
+        val reply = ask("POST", "/leases/$lease/extend") as? Reply.Answer ?: return null
+        return when (reply.status) {
+            200 -> true
+            404 -> false
+            else -> null
+        }
+    }
+
+    fun follow(
+        prefix: String,
+        after: Long,
+        holdMs: Int,
+    ): Watched {
+        val reply = ask("GET", "/follow?prefix=${encode(prefix)}&after=$after&holdMs=$holdMs", patienceMs = holdMs + FOLLOW_GRACE_MS)
+        if (reply !is Reply.Answer) return Watched.Failed
+        return reading<Watched>(Watched.Failed) {
+            when (reply.status) {
+                200 ->
+                    Watched.Events(
+                        reply.body.count("epoch"),
+                        (reply.body["log"] as? List<*>).orEmpty().map { entry(asFields(it)) },
+                    )
+                410 -> Watched.TooOld
+                else -> Watched.Failed
+            }
+        }
+    }
+
+    private fun entry(fields: Fields): Event {
+        val put = fields["put"]
+        return if (put != null) {
+            Event(fields.text("put"), fields.map("v"), fields.count("stamp"))
+        } else {
+            Event(fields.text("delete"), null, fields.count("stamp"))
+        }
+    }
+
+    private fun ask(
+        method: String,
+        path: String,
+        body: Fields? = null,
+        patienceMs: Int? = null,
+    ): Reply {
+        if (!requests.tryAcquire(PATIENCE_MS, TimeUnit.MILLISECONDS)) return Reply.NotSent("over this node's part of the limit")
+        val reply =
+            if (patienceMs == null) caller.call(method, address, path, body) else caller.call(method, address, path, body, patienceMs)
+        if (reply !is Reply.Answer || reply.status >= 500) log.debug("{} {}: {}", method, path, reply)
+        return reply
+    }
+
+    private inline fun <T> reading(
+        nonsense: T,
+        read: () -> T,
+    ): T =
+        try {
+            read()
+        } catch (e: MalformedException) {
+            log.error("the state service answers nonsense: {}", e.message)
+            nonsense
+        }
+
+    private fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
+
+    private companion object {
+        /** A little below the limits: the clocks of the two ends differ. */
+        const val SAFETY = 0.9
+        const val PATIENCE_MS = 1500L
+        const val FOLLOW_GRACE_MS = 1500
+        const val PAGE = 500
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/wire/WorkerMessages.kt
@@ -0,0 +1,119 @@
+package io.reedmast.wire
+
+/** The state of one task on a worker. */
+enum class PieceStage(
+    val wire: String,
+) {
+    FETCHING("fetching"),
+    RUNNING("running"),
+    SAVING("saving"),
+    ENDED("ended"),
+}
+
+/** Why a task ended, as far as the difference matters to a controller. */
+enum class Cause(
+    val wire: String,
+) {
+    DONE("done"),
+    HALTED("halted"),
+    ERROR("error"),
+    NO_ROOM("no_room"),
+    BUSY("busy"),
+    UNKNOWN("unknown"),
+}
+
+/** One task of one job: `wk-000412/3`. */
+data class TaskId(
+    val ref: String,
+    val task: Int,
+) {
+    override fun toString(): String = "$ref/$task"
+
+    companion object {
+        fun parse(text: String): TaskId {
+            val slash = text.lastIndexOf('/')
+            val task = if (slash > 0) text.substring(slash + 1).toIntOrNull() else null
+            if (task == null || task < 0) throw MalformedException("piece is not of the form job/number: $text")
+            return TaskId(text.substring(0, slash), task)
+        }
+    }
+}
+
+data class PieceReport(
+    val id: TaskId,
+    val attempt: Long,
+    val stage: PieceStage,
+    val cause: Cause?,
+)
+
+/** A worker's report, from `/checkin`, `/do` or `/status`. */
+data class Report(
+    val host: String,
+    val addr: String,
+    val build: String,
+    val yard: String,
+    val driftwood: Boolean,
+    val tenure: Long,
+    val tally: Long,
+    val baton: Long,
+    val warningS: Double?,
+    val pieces: List<PieceReport>,
+) {
+    companion object {
+        fun parse(fields: Fields): Report =
+            Report(
+                host = fields.text("host"),
+                addr = fields.text("addr"),
+                build = fields.text("build"),
+                yard = fields.text("yard"),
+                driftwood = fields.optionalFlag("driftwood"),
+                tenure = fields.count("tenure"),
+                tally = fields.count("tally"),
+                baton = fields.count("baton"),
+                warningS = fields.optionalAmount("warningS"),
+                pieces = fields.maps("pieces").map { piece(it) },
+            )
+
+        private fun piece(fields: Fields): PieceReport {
+            val stageName = fields.text("stage")
+            val stage = PieceStage.entries.firstOrNull { it.wire == stageName } ?: throw MalformedException("stage is unknown: $stageName")
+            val causeName = fields.optionalText("cause")
+            return PieceReport(
+                TaskId.parse(fields.text("piece")),
+                fields.count("try"),
+                stage,
+                // A cause nobody told us of still means that the attempt is over without a result.
+                if (stage == PieceStage.ENDED) Cause.entries.firstOrNull { it.wire == causeName } ?: Cause.ERROR else null,
+            )
+        }
+    }
+}
+
+/** A command to a worker. */
+sealed interface Order {
+    val id: TaskId
+    val attempt: Long
+
+    data class Launch(
+        override val id: TaskId,
+        override val attempt: Long,
+    ) : Order
+
+    data class Stop(
+        override val id: TaskId,
+        override val attempt: Long,
+        val mercyS: Double,
+    ) : Order
+
+    data class Forget(
+        override val id: TaskId,
+        override val attempt: Long,
+    ) : Order
+
+    fun toFields(): Fields =
+        when (this) {
+            is Launch -> mapOf("verb" to "launch", "piece" to id.toString(), "try" to attempt)
+            is Stop -> mapOf("verb" to "stop", "piece" to id.toString(), "try" to attempt, "mercyS" to mercyS)
+            is Forget -> mapOf("verb" to "forget", "piece" to id.toString(), "try" to attempt)
+        }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/workers/Machine.kt
@@ -0,0 +1,161 @@
+package io.reedmast.workers
+
+import io.reedmast.jobs.Placement
+import io.reedmast.wire.Fields
+import io.reedmast.wire.Flavor
+import io.reedmast.wire.Report
+import io.reedmast.wire.TaskId
+import io.reedmast.wire.flag
+import io.reedmast.wire.text
+
+/** A machine as the slice record names it. */
+data class HostRecord(
+    val name: String,
+    val build: String,
+    val yard: String,
+    val driftwood: Boolean,
+) {
+    fun toFields(): Fields = mapOf("host" to name, "build" to build, "yard" to yard, "spot" to driftwood)
+
+    companion object {
+        fun parse(fields: Fields) = HostRecord(fields.text("host"), fields.text("build"), fields.text("yard"), fields.flag("spot"))
+    }
+}
+
+/** Why a machine is to go. */
+enum class Retirement {
+    IDLE,
+    SILENT,
+    NEVER_CAME,
+    SICK,
+    NOTICE,
+    MOVING,
+}
+
+/** The worker's session and the token that an unanswered launch was sent under. */
+data class LateLaunch(
+    val tenure: Long,
+    val token: Long,
+)
+
+/** What the owner of a slice knows of one of its machines. */
+class Machine(
+    val record: HostRecord,
+    var flavor: Flavor?,
+    val firstSeenAt: Long,
+    /** The lowest token that proves, once the worker has seen it, that no earlier owner's command can arrive any more. */
+    val floor: Long,
+) {
+    val name: String get() = record.name
+    val placements = LinkedHashMap<TaskId, Placement>()
+
+    /** Newest report, if any came under this owner's token: only then is it known what is on the machine. */
+    var trusted = false
+    var addr: String? = null
+    var tenure = 0L
+    var tally = -1L
+    var baton = 0L
+    var lastHeardAt = firstSeenAt
+    var everHeard = false
+    var warningUntil = 0L
+    var retirement: Retirement? = null
+    var returning = false
+    var emptySince = firstSeenAt
+
+    /** What reported tasks take that no placement accounts for. */
+    var strayCpus = 0.0
+    var strayGpus = 0.0
+    var strayMemGb = 0.0
+
+    /** Direct launches that wait for their answer, by attempt. */
+    val inFlight = HashMap<Pair<TaskId, Long>, Int>()
+
+    /** Direct launches that got no answer. Each may run late while session and token stay as they were. */
+    private val late = HashMap<Pair<TaskId, Long>, LateLaunch>()
+    var directCalls = 0
+
+    /** Images fetched here, least recently used first, with their sizes. */
+    val images = LinkedHashMap<String, Double>(8, 0.75f, true)
+
+    /** Jobs that failed here since the last success. */
+    val failedJobs = HashSet<String>()
+
+    private var usedCpus = 0.0
+    private var usedGpus = 0.0
+    private var usedMemGb = 0.0
+
+    val freeCpus: Double get() = (flavor?.cpus ?: 0.0) - usedCpus - strayCpus
+    val freeGpus: Double get() = (flavor?.gpus ?: 0.0) - usedGpus - strayGpus
+    val freeMemGb: Double get() = (flavor?.memGb ?: 0.0) - usedMemGb - strayMemGb
+    val usable: Boolean get() = trusted && retirement == null && !returning && flavor != null
+
+    fun add(placement: Placement) {
+        placements[placement.id] = placement
+        usedCpus += placement.job.spec.cpus
+        usedGpus += placement.job.spec.gpus
+        usedMemGb += placement.job.spec.memGb
+    }
+
+    fun remove(placement: Placement) {
+        if (placements.remove(placement.id, placement)) {
+            usedCpus -= placement.job.spec.cpus
+            usedGpus -= placement.job.spec.gpus
+            usedMemGb -= placement.job.spec.memGb
+            if (placements.isEmpty()) {
+                // Sums of decimals drift; an empty machine is exactly empty.
+                usedCpus = 0.0
+                usedGpus = 0.0
+                usedMemGb = 0.0
+            }
+        }
+    }
+
+    fun fits(
+        cpus: Double,
+        gpus: Double,
+        memGb: Double,
+    ): Boolean = cpus <= freeCpus + EPSILON && gpus <= freeGpus + EPSILON && memGb <= freeMemGb + EPSILON
+
+    fun noteLate(
+        id: TaskId,
+        attempt: Long,
+        launch: LateLaunch,
+    ) {
+        late[id to attempt] = launch
+    }
+
+    /** Whether a launch of this attempt may still arrive at the machine. */
+    fun mayLaunch(
+        id: TaskId,
+        attempt: Long,
+    ): Boolean {
+        val key = id to attempt
+        if (inFlight.containsKey(key)) return true
+        val launch = late[key] ?: return false
+        if (tenure <= launch.tenure && baton <= launch.token) return true
+        late.remove(key)
+        return false
+    }
+
+    /** Messages overtake each other; only the newest says what is on the machine. */
+    fun isNewer(report: Report): Boolean = report.tenure > tenure || (report.tenure == tenure && report.tally > tally)
+
+    fun noteImage(
+        bundle: String,
+        sizeGb: Double,
+    ) {
+        images[bundle] = sizeGb
+        val room = flavor?.cacheGb ?: return
+        if (room <= 0.0) return
+        val oldest = images.entries.iterator()
+        var total = images.values.sum()
+        while (total > room && images.size > 1 && oldest.hasNext()) {
+            total -= oldest.next().value
+            oldest.remove()
+        }
+    }
+
+    companion object {
+        const val EPSILON = 1e-9
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/WireTest.kt
@@ -0,0 +1,67 @@
+package io.reedmast
+
+import io.reedmast.wire.JobSpec
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Tree
+import io.reedmast.wire.amount
+import io.reedmast.wire.count
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+
+class WireTest {
+    private val job =
+        mapOf(
+            "ref" to "wk-000001", "lot" to "train", "crew" to "vision", "shape" to "array", "rank" to "urgent", "pieces" to 3,
+            "cpus" to 1, "gpus" to 0.0, "memGb" to 2.0, "bundle" to "img-1", "sizeGb" to 1.5, "builds" to null, "yard" to null,
+            "oneZone" to false, "apart" to false, "driftwood" to true, "guessS" to 20.0, "markS" to 0.0, "stowS" to 0.0, "dueS" to null,
+        )
+
+    private fun parse(fields: Map<String, Any?>) = JobSpec.parse(Tree.readCbor(Tree.writeCbor(fields)))
+
+    @Test
+    fun `integers are read where decimals are usual, and null is as good as omitted`() {
+        assertEquals(1.0, parse(job).cpus)
+        assertEquals(parse(job), parse(job - "yard" - "builds" - "dueS"))
+    }
+
+    @Test
+    fun `a job survives being stored`() {
+        assertEquals(parse(job), parse(parse(job).toFields()))
+    }
+
+    @Test
+    fun `any width of float and form of length is read`() {
+        // {"a": 1.5 (half), "b": 1.5 (single), "c": [_ 1]} with an indefinite map.
+        val bytes = byteArrayOf(0xbf.toByte(), 0x61, 0x61, 0xf9.toByte(), 0x3e, 0x00, 0x61, 0x62, 0xfa.toByte(), 0x3f, 0xc0.toByte(), 0, 0, 0x61, 0x63, 0x9f.toByte(), 1, 0xff.toByte(), 0xff.toByte())
+        val fields = Tree.readCbor(bytes)
+        assertEquals(1.5, fields.amount("a"))
+        assertEquals(1.5, fields.amount("b"))
+        assertEquals(listOf(1L), fields["c"])
+    }
+
+    @Test
+    fun `malformed submissions are told from good ones`() {
+        val bad =
+            listOf(
+                job - "ref", job + ("ref" to 7), job + ("ref" to "a/b"), job + ("pieces" to 0), job + ("pieces" to 100_001), job + ("pieces" to 1.5),
+                job + ("cpus" to Double.NaN), job + ("cpus" to Double.POSITIVE_INFINITY), job + ("memGb" to -1.0), job + ("rank" to "soon"),
+                job + ("shape" to "gang"), job + ("oneZone" to "yes"), job + ("builds" to listOf(1)), job + ("dueS" to "late"),
+            )
+        for (fields in bad) assertThrows(MalformedException::class.java, { parse(fields) }, fields.toString())
+    }
+
+    @Test
+    fun `what is not one CBOR map is malformed`() {
+        for (bytes in listOf(byteArrayOf(), byteArrayOf(0x01), byteArrayOf(0x80.toByte()), byteArrayOf(0xa1.toByte(), 0x61), byteArrayOf(0xa0.toByte(), 0xa0.toByte()), "{}".toByteArray())) {
+            assertThrows(MalformedException::class.java) { Tree.readCbor(bytes) }
+        }
+    }
+
+    @Test
+    fun `counts are integers from 0 up`() {
+        assertEquals(5L, mapOf("n" to 5).count("n"))
+        assertThrows(MalformedException::class.java) { mapOf("n" to -1L).count("n") }
+        assertThrows(MalformedException::class.java) { mapOf("n" to 1.0).count("n") }
+    }
+}
