Full cloud budget for the leader, quick resizes, and no machine for work that a boot outlasts

Cause: the leader kept a follower's part of the cloud's limit, so rentals were 3.5 s apart; slices rented while their neighbours returned empty machines; and tasks of 20 s rented machines that boot in 35 s.

--- a/src/main/kotlin/io/reedmast/fleet/Leader.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Leader.kt
@@ -60,6 +60,9 @@
     private val outdated = HashMap<SliceIndex, Long>()
     private val renting = HashSet<SliceIndex>()
 
+    /** Slices that machines are on their way to, and until when that keeps the leader from renting for them. */
+    private val moving = HashMap<SliceIndex, Long>()
+
     /** Rented but not yet given to a slice. */
     private val unassigned = LinkedHashMap<HostRecord, Destination>()
     private val strangers = HashMap<String, Long>()
@@ -119,28 +122,42 @@
     /** Slices further below their share come first, for idle machines of other slices and for rented ones. */
     private fun serve(totals: List<Totals>) {
         val now = clock.now()
+        moving.entries.removeIf { it.value < now && renting.remove(it.key) }
         val current = totals.filter { it.term >= (outdated[it.slice] ?: 0L) && it.slice !in renting }
         val wanting = current.filter { it.demand.isNotEmpty() }.sortedBy { it.ratio }
-        val moved = HashSet<SliceIndex>()
         if (now >= resizeDue) {
             resizeDue = now + (tuning.resizeS * 1000).toLong()
-            for (needy in wanting) {
-                for (giver in totals.filter { it.slice != needy.slice && it.demand.isEmpty() && it.idle.isNotEmpty() }) {
-                    if (giver.slice in moved) continue
-                    val record = cluster.records[giver.slice.value]?.record ?: continue
-                    val useful =
-                        record.hosts.filter { host ->
-                            host.name in giver.idle && host.name !in record.leaving && needy.demand.any { suits(it, host) }
-                        }
-                    val host = useful.firstOrNull() ?: continue
-                    log.info("slice {} gives {} to slice {}", giver.slice.value, host.name, needy.slice.value)
-                    cluster.markLeaving(giver.slice, listOf(host.name), needy.slice)
-                    moved.add(giver.slice)
-                    break
+            resize(wanting, totals)
+        }
+        for (needy in wanting) rentFor(needy, now)
+    }
+
+    /** Idle and booting machines of slices that want nothing go to slices that do, until their demand is met. */
+    private fun resize(
+        wanting: List<Totals>,
+        totals: List<Totals>,
+    ) {
+        val givers = totals.filter { it.demand.isEmpty() && it.idle.isNotEmpty() }
+        for (needy in wanting) {
+            val left = needy.demand.associateWithTo(LinkedHashMap()) { it.count }
+            for (giver in givers) {
+                val record = cluster.records[giver.slice.value]?.record ?: continue
+                val given = ArrayList<String>()
+                for (host in record.hosts) {
+                    if (host.name !in giver.idle || host.name in record.leaving) continue
+                    val demand = left.entries.firstOrNull { it.value > 0 && suits(it.key, host) } ?: continue
+                    val flavor = flavors()[host.build] ?: continue
+                    demand.setValue(demand.value - flavor.holds(demand.key.cpus, demand.key.gpus, demand.key.memGb))
+                    given.add(host.name)
                 }
+                if (given.isEmpty()) continue
+                log.info("slice {} gives {} to slice {}", giver.slice.value, given, needy.slice.value)
+                cluster.markLeaving(giver.slice, given, needy.slice)
+                // Their room is not known to the needy slice before they have moved.
+                renting.add(needy.slice)
+                moving[needy.slice] = clock.now() + MOVE_MS
             }
         }
-        for (needy in wanting) rentFor(needy, now)
     }
 
     private fun suits(
@@ -259,6 +276,7 @@
     }
 
     private companion object {
+        const val MOVE_MS = 2_000L
         const val READ_TOTALS_MS = 1_000L
         const val LIST_MIN_MS = 5_000L
         const val SOLD_OUT_MS = 20_000L
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -41,6 +41,8 @@
 import io.reedmast.workers.Machine
 import io.reedmast.workers.Retirement
 import org.slf4j.LoggerFactory
+import kotlin.math.ceil
+import kotlin.math.sqrt
 
 /** Changes to slice records, which their owner asks for and others may make too. */
 interface SliceRecords {
@@ -983,7 +985,7 @@
             times.removeIf { now - it > ARRIVALS_WINDOW_MS }
             val size = jobs.values.firstOrNull { it.spec.lot == lot }?.spec ?: continue
             val expected = times.size * boot * 1000.0 / ARRIVALS_WINDOW_MS
-            sum += (expected + 2 * kotlin.math.sqrt(expected)) * size.cpus * size.pieces
+            sum += (expected + 2 * sqrt(expected)) * size.cpus * size.pieces
         }
         return sum
     }
@@ -1025,6 +1027,7 @@
         val booting = machines.values.filter { !it.trusted && it.retirement == null && it.flavor != null }
         val room = booting.map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
         val shapes = LinkedHashMap<Demand, Int>()
+        val excess = excess()
         val left = HashMap<TeamIndex, Double>()
         for (job in jobs.values.sortedBy { it.spec.rank }) {
             if (job.waitingCount <= 0 || job.ending || job.failures >= FAILURES_OF_A_BAD_JOB) continue
@@ -1041,6 +1044,7 @@
                 place.take(spec)
                 tasks--
             }
+            if (!spec.service) tasks = ceil(tasks * excess).toInt()
             if (tasks > 0) {
                 val shape = Demand(spec.cpus, spec.gpus, spec.memGb, spec.driftwood, spec.builds, spec.yard, 0)
                 shapes.merge(shape, tasks, Int::plus)
@@ -1049,6 +1053,24 @@
         return shapes.map { (shape, n) -> shape.copy(count = n) }
     }
 
+    /**
+     * The part of the waiting array work that the slice's machines would not get through while a new machine boots.
+     *
+     * Run times are the owners' estimates; work that would be over before a machine is up is not worth one.
+     */
+    private fun excess(): Double {
+        var work = 0.0
+        var running = 0.0
+        for (job in jobs.values) {
+            if (job.spec.service) continue
+            work += job.waitingCount * job.spec.cpus * job.spec.guessS
+            running += job.placedCount * job.spec.cpus
+        }
+        if (work <= 0.0) return 1.0
+        val boot = machines.values.mapNotNull { it.flavor?.startupS }.minOrNull() ?: return 1.0
+        return maxOf(0.0, 1.0 - running * boot / work)
+    }
+
     private class Room(
         val host: HostRecord,
         var cpus: Double,
@@ -1081,7 +1103,7 @@
                 "usage" to usage.toFields(teams),
                 "ratio" to (teams.filter { t -> jobs.values.any { it.team == t && it.waitingCount > 0 } }.minOfOrNull { ratio(it, wall) } ?: 0.0),
                 "demand" to demand.take(MAX_SHAPES).map { it.toFields() },
-                "idle" to machines.values.filter { it.usable && it.placements.isEmpty() && now - it.emptySince > IDLE_TO_MOVE_MS }.map { it.name },
+                "idle" to machines.values.filter { canMove(it, now) }.map { it.name },
             )
         val path = Keys.totals(slice)
         out.commit(
@@ -1097,6 +1119,14 @@
         )
     }
 
+    /** Empty for a while and not kept for services, or still booting while nothing waits. */
+    private fun canMove(
+        machine: Machine,
+        now: Long,
+    ): Boolean =
+        machine.placements.isEmpty() && machine.retirement == null && !machine.returning && machine.flavor != null &&
+            (!machine.everHeard || (machine.trusted && now - machine.emptySince > IDLE_TO_MOVE_MS && !spareNeeded(machine, now)))
+
     fun progress(ref: String): Fields? {
         val job = jobs[ref] ?: return null
         return mapOf("done" to job.doneCount, "running" to job.placements().count { it.running })
@@ -1119,7 +1149,7 @@
         const val LOST_BOOT_S = 5.0
         const val ARRIVALS_WINDOW_MS = 180_000L
         const val MIN_TOTALS_MS = 1_000L
-        const val IDLE_TO_MOVE_MS = 5_000L
+        const val IDLE_TO_MOVE_MS = 2_000L
         const val MAX_SHAPES = 20
     }
 }
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -170,10 +170,11 @@
                 }
 
                 path == Keys.LEADER -> {
-                    if (stamp >= leaderStamp) {
+                    if (stamp > leaderStamp) {
                         leader = value?.text("label")
                         leaderStamp = stamp
                         if (leader != null) log.info("leader: {}", leader)
+                        shareLimits()
                     }
                 }
 
@@ -318,7 +319,8 @@
         out.commit(
             Change(listOf(Guard(Keys.LEADER, 0)), listOf(Write.Put(Keys.LEADER, mapOf("label" to settings.label), held))) { outcome ->
                 claimingLeader = false
-                if (outcome is Outcome.Applied) see(Keys.LEADER, mapOf("label" to settings.label), outcome.epoch)
+                // The watch tells the same: whichever is first counts.
+                if (outcome is Outcome.Applied && outcome.epoch > leaderStamp) see(Keys.LEADER, mapOf("label" to settings.label), outcome.epoch)
                 if (outcome is Outcome.Refused && lease == held) lease = null
             },
         )
--- a/src/main/kotlin/io/reedmast/settings/Tuning.kt
+++ b/src/main/kotlin/io/reedmast/settings/Tuning.kt
@@ -7,9 +7,9 @@
     /** The longest protected minimum run time. */
     val protectCapS: Double = 30 * 60.0,
     /** How often the leader resizes slices. */
-    val resizeS: Double = 30.0,
+    val resizeS: Double = 3.0,
     /** How often owners write team totals. */
     val totalsS: Double = 5.0,
     /** How long an empty machine is kept before it is returned. */
-    val idleS: Double = 45.0,
+    val idleS: Double = 30.0,
 )
--- a/src/main/kotlin/io/reedmast/wire/WorkerMessages.kt
+++ b/src/main/kotlin/io/reedmast/wire/WorkerMessages.kt
@@ -76,7 +76,8 @@
 
         private fun piece(fields: Fields): PieceReport {
             val stageName = fields.text("stage")
-            val stage = PieceStage.entries.firstOrNull { it.wire == stageName } ?: throw MalformedException("stage is unknown: $stageName")
+            // A stage nobody told us of: the task is on the machine, and not known to run.
+            val stage = PieceStage.entries.firstOrNull { it.wire == stageName } ?: PieceStage.FETCHING
             val causeName = fields.optionalText("cause")
             return PieceReport(
                 TaskId.parse(fields.text("piece")),
