--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -0,0 +1,107 @@
+package io.reedmast.sim
+
+import io.reedmast.state.Change
+import io.reedmast.state.Event
+import io.reedmast.state.Item
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.wire.Fields
+import io.reedmast.wire.Tree
+import java.util.TreeMap
+
+/** The state service of PROTOCOL: conditional transactions, stamps, leases. */
+class SimState(
+    private val world: World,
+) {
+    private class Entry(
+        val value: Fields,
+        val stamp: Long,
+        val lease: Long?,
+    )
+
+    private val entries = TreeMap<String, Entry>()
+    private val log = ArrayList<Event>()
+    private val leases = HashMap<Long, Long>()
+    private var leaseCount = 0L
+    var epoch = 1L
+        private set
+    var up = true
+        private set
+
+    fun outage(ms: Long) {
+        up = false
+        world.after(ms) {
+            up = true
+            leases.replaceAll { _, _ -> world.now() + LEASE_AFTER_OUTAGE_MS }
+        }
+    }
+
+    fun get(path: String): Item? {
+        expire()
+        return entries[path]?.let { Item(path, it.value, it.stamp) }
+    }
+
+    fun list(prefix: String): List<Item> {
+        expire()
+        return entries.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.map { Item(it.key, it.value.value, it.value.stamp) }
+    }
+
+    fun since(after: Long): List<Event> {
+        expire()
+        return log.filter { it.stamp > after }
+    }
+
+    fun commit(change: Change): Outcome {
+        expire()
+        val failed = change.guards.filter { (entries[it.path]?.stamp ?: 0L) != it.stamp }.mapTo(HashSet()) { it.path }
+        if (failed.isNotEmpty()) return Outcome.Conflict(failed)
+        if (change.writes.any { it is Write.Put && it.lease != null && it.lease !in leases }) return Outcome.Refused("no such lease")
+        epoch++
+        for (write in change.writes) {
+            when (write) {
+                is Write.Put -> put(write)
+                is Write.Delete -> remove(write.path)
+            }
+        }
+        return Outcome.Applied(epoch)
+    }
+
+    private fun put(write: Write.Put) {
+        // Through the wire and back, as the real service would give it.
+        val value = Tree.readCbor(Tree.writeCbor(write.value))
+        entries[write.path] = Entry(value, epoch, write.lease)
+        log.add(Event(write.path, value, epoch))
+    }
+
+    private fun remove(path: String) {
+        if (entries.remove(path) != null) log.add(Event(path, null, epoch))
+    }
+
+    fun lease(lifeMs: Long): Long {
+        leases[++leaseCount] = world.now() + lifeMs
+        return leaseCount
+    }
+
+    fun extend(
+        lease: Long,
+        lifeMs: Long,
+    ): Boolean {
+        expire()
+        return leases.computeIfPresent(lease) { _, _ -> world.now() + lifeMs } != null
+    }
+
+    private fun expire() {
+        if (!up) return
+        val over = leases.filterValues { it < world.now() }.keys.toList()
+        for (lease in over) {
+            leases.remove(lease)
+            val paths = entries.filterValues { it.lease == lease }.keys.toList()
+            if (paths.isNotEmpty()) epoch++
+            paths.forEach { remove(it) }
+        }
+    }
+
+    private companion object {
+        const val LEASE_AFTER_OUTAGE_MS = 4_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/SimWorker.kt
@@ -0,0 +1,276 @@
+package io.reedmast.sim
+
+import io.reedmast.app.WorkerAnswer
+import io.reedmast.wire.Cause
+import io.reedmast.wire.Flavor
+import io.reedmast.wire.Order
+import io.reedmast.wire.PieceReport
+import io.reedmast.wire.PieceStage
+import io.reedmast.wire.Reply
+import io.reedmast.wire.Report
+import io.reedmast.wire.TaskId
+
+/** A worker of PROTOCOL: tokens, sessions, leases, images, and the commands' effects. */
+class SimWorker(
+    private val world: World,
+    val name: String,
+    val flavor: Flavor,
+    val yard: String,
+    val spot: Boolean,
+    private val rentedAt: Long,
+) {
+    private class Task(
+        val id: TaskId,
+        val attempt: Long,
+    ) {
+        var stage = PieceStage.FETCHING
+        var cause: Cause? = null
+    }
+
+    val addr = "10.1.0.1:$name"
+    private val tasks = LinkedHashMap<Pair<TaskId, Long>, Task>()
+    private val images = HashSet<String>()
+    private val resumed = ArrayList<() -> Unit>()
+    private var node = 0
+    private var tenure = 1L
+    private var tally = 0L
+    private var baton = 0L
+    private var leaseFrom = 0L
+    private var gone = false
+    private var inFlight = false
+    private var reportDue = 0L
+    private var lastSent = -1_000L
+    var hung = false
+        private set
+
+    /** Nothing passes between this machine and any node. */
+    var cut = false
+
+    /** Answers to reports are lost as long as this is set. */
+    var answersLost = false
+    var started = false
+        private set
+
+    fun onMachine(): List<TaskId> =
+        if (gone) emptyList() else tasks.values.filter { it.stage == PieceStage.RUNNING || it.stage == PieceStage.SAVING }.map { it.id }
+
+    fun start() {
+        if (gone) return
+        started = true
+        leaseFrom = world.now()
+        step()
+    }
+
+    fun vanish() {
+        gone = true
+        tasks.clear()
+    }
+
+    fun hang(ms: Long) {
+        hung = true
+        world.after(ms) {
+            hung = false
+            // A resumed machine first notices that its lease is over, if it is.
+            checkLease()
+            resumed.toList().also { resumed.clear() }.forEach { it() }
+        }
+    }
+
+    fun whenResumed(work: () -> Unit) {
+        resumed.add(work)
+    }
+
+    private fun step() {
+        if (gone) return
+        if (!hung) {
+            checkLease()
+            if (!inFlight && world.now() >= reportDue && world.now() - lastSent >= 500) send()
+        }
+        world.after(100) { step() }
+    }
+
+    private fun checkLease() {
+        if (world.now() - leaseFrom > world.settings.workers.leaseS * 1000) {
+            tasks.clear()
+            tenure++
+            leaseFrom = world.now()
+            changed()
+        }
+    }
+
+    private fun changed() {
+        reportDue = minOf(reportDue, world.now())
+    }
+
+    private fun report(): Report {
+        tally++
+        return Report(name, addr, flavor.label, yard, spot, tenure, tally, baton, null, tasks.values.map { PieceReport(it.id, it.attempt, it.stage, it.cause) })
+    }
+
+    private fun send() {
+        inFlight = true
+        lastSent = world.now()
+        val sentAt = world.now()
+        val sentIn = tenure
+        reportDue = world.now() + 3_000
+        val report = report()
+        val target = world.nodes[node]
+        world.after(2) {
+            val reaches = target.up && !target.workersCut && !cut
+            val answer = if (reaches) world.workerAnswer(target, report) else null
+            if (answersLost || answer == null) {
+                world.after(if (target.up) 4_000 else 10) { next(1_000) }
+            } else {
+                world.after(2) { take(answer, sentAt, sentIn) }
+            }
+        }
+    }
+
+    private fun next(ms: Long) {
+        node = (node + 1) % world.nodes.size
+        reportDue = world.now() + ms
+        inFlight = false
+    }
+
+    private fun take(
+        answer: WorkerAnswer,
+        sentAt: Long,
+        sentIn: Long,
+    ) {
+        if (gone) return
+        if (hung) {
+            whenResumed { inFlight = false }
+            return
+        }
+        inFlight = false
+        when (answer) {
+            is WorkerAnswer.Orders -> {
+                if (answer.baton < baton || sentIn != tenure) return
+                if (answer.baton > baton) {
+                    baton = answer.baton
+                    changed()
+                }
+                leaseFrom = sentAt
+                answer.orders.forEach { execute(it) }
+            }
+
+            is WorkerAnswer.Elsewhere -> {
+                val to = world.nodes.indexOfFirst { it.label == answer.label }
+                if (to < 0 || to == node) {
+                    next(1_000)
+                } else {
+                    node = to
+                    reportDue = world.now() + 100
+                }
+            }
+
+            WorkerAnswer.Unavailable -> {
+                next(1_000)
+            }
+        }
+    }
+
+    fun direct(
+        token: Long,
+        session: Long,
+        orders: List<Order>,
+    ): Reply {
+        if (gone || !started) return Reply.Unanswered("gone")
+        if (token < baton || session != tenure) return Reply.Answer(409, fields(report()))
+        if (token > baton) {
+            baton = token
+            changed()
+        }
+        orders.forEach { execute(it) }
+        return Reply.Answer(200, fields(report()))
+    }
+
+    private fun execute(order: Order) {
+        val key = order.id to order.attempt
+        val task = tasks[key]
+        when (order) {
+            is Order.Launch -> {
+                if (task == null) launch(order)
+            }
+
+            is Order.Stop -> {
+                if (task != null && task.stage != PieceStage.ENDED) end(task, Cause.HALTED)
+            }
+
+            is Order.Forget -> {
+                if (task?.stage == PieceStage.ENDED) tasks.remove(key)
+            }
+        }
+    }
+
+    private fun launch(order: Order.Launch) {
+        val task = Task(order.id, order.attempt)
+        val job = world.jobs[order.id.ref]
+        val busy = tasks.values.any { it.id == order.id && it.stage != PieceStage.ENDED }
+        tasks[order.id to order.attempt] = task
+        changed()
+        if (busy || job == null) {
+            end(task, if (busy) Cause.BUSY else Cause.UNKNOWN)
+            return
+        }
+        val used = tasks.values.filter { it.stage != PieceStage.ENDED }.sumOf { world.jobs.getValue(it.id.ref).spec.cpus }
+        if (used > flavor.cpus + 1e-6) {
+            end(task, Cause.NO_ROOM)
+            return
+        }
+        val fetchMs = if (job.spec.bundle in images) 0L else (job.spec.sizeGb / flavor.pullGbPerS * 1000).toLong()
+        later(fetchMs, task) { run(task, job) }
+    }
+
+    private fun run(
+        task: Task,
+        job: World.SimJob,
+    ) {
+        images.add(job.spec.bundle)
+        task.stage = PieceStage.RUNNING
+        changed()
+        world.started(this, task.id)
+        when {
+            task.id.task in job.completed && !job.spec.service -> later(1, task) { end(task, Cause.DONE) }
+            job.fails -> later(200, task) { end(task, Cause.ERROR) }
+            !job.spec.service -> later(job.runMs, task) {
+                job.completed.add(task.id.task)
+                end(task, Cause.DONE)
+            }
+        }
+    }
+
+    /** A task's own time: it stands still while the machine hangs, and ends with the task. */
+    private fun later(
+        ms: Long,
+        task: Task,
+        work: () -> Unit,
+    ) {
+        world.after(ms) {
+            if (gone || tasks[task.id to task.attempt] !== task || task.stage == PieceStage.ENDED) return@after
+            if (hung) whenResumed { later(1, task, work) } else work()
+        }
+    }
+
+    private fun end(
+        task: Task,
+        cause: Cause,
+    ) {
+        task.stage = PieceStage.ENDED
+        task.cause = cause
+        changed()
+    }
+
+    private fun fields(report: Report): Map<String, Any?> =
+        mapOf(
+            "host" to report.host,
+            "addr" to report.addr,
+            "build" to report.build,
+            "yard" to report.yard,
+            "driftwood" to report.driftwood,
+            "tenure" to report.tenure,
+            "tally" to report.tally,
+            "baton" to report.baton,
+            "pieces" to report.pieces.map { mapOf("piece" to it.id.toString(), "try" to it.attempt, "stage" to it.stage.wire, "cause" to it.cause?.wire) },
+        )
+}
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -0,0 +1,373 @@
+package io.reedmast.sim
+
+import io.reedmast.app.Clock
+import io.reedmast.app.Controller
+import io.reedmast.app.LeaseState
+import io.reedmast.app.Outward
+import io.reedmast.app.Rented
+import io.reedmast.app.WorkerAnswer
+import io.reedmast.fleet.Rental
+import io.reedmast.jobs.UserAnswer
+import io.reedmast.settings.Settings
+import io.reedmast.settings.Tuning
+import io.reedmast.state.Change
+import io.reedmast.state.Fetched
+import io.reedmast.state.Item
+import io.reedmast.state.Outcome
+import io.reedmast.wire.Flavor
+import io.reedmast.wire.JobSpec
+import io.reedmast.wire.ListedHost
+import io.reedmast.wire.Order
+import io.reedmast.wire.Rank
+import io.reedmast.wire.Reply
+import io.reedmast.wire.TaskId
+import java.net.InetSocketAddress
+import java.util.PriorityQueue
+
+/** A deterministic world: simulated time, a state service, a cloud, workers and users, around real controllers. */
+class World(
+    private val settingsOf: (Int) -> Settings,
+    nodes: Int,
+    val flavors: List<Flavor>,
+    private val tuning: Tuning = Tuning(),
+) : Clock {
+    private class Event(
+        val at: Long,
+        val order: Long,
+        val work: () -> Unit,
+    )
+
+    private var time = 1_000L
+    private var order = 0L
+    private val events = PriorityQueue<Event>(compareBy<Event>({ it.at }, { it.order }))
+    val state = SimState(this)
+    val workers = LinkedHashMap<String, SimWorker>()
+    val nodes = (0 until nodes).map { SimNode(it) }
+    val jobs = HashMap<String, SimJob>()
+    val broken = ArrayList<String>()
+    val told = HashMap<String, String>()
+    private val charters = HashMap<String, List<String>>()
+    private var hosts = 0
+    var capacity = Int.MAX_VALUE
+    val settings = settingsOf(0)
+
+    override fun now(): Long = time
+
+    override fun wall(): Long = 1_700_000_000_000L + time
+
+    fun after(
+        ms: Long,
+        work: () -> Unit,
+    ) {
+        events.add(Event(time + ms, order++, work))
+    }
+
+    fun runUntil(ms: Long) {
+        while (true) {
+            val next = events.peek() ?: break
+            if (next.at > ms) break
+            events.poll()
+            time = next.at
+            next.work()
+        }
+        time = ms
+    }
+
+    fun addWorker(
+        build: String,
+        yard: String,
+        spot: Boolean,
+        bootMs: Long,
+    ): SimWorker {
+        val name = "host-%06d".format(hosts++)
+        val worker = SimWorker(this, name, flavors.first { it.label == build }, yard, spot, time)
+        workers[name] = worker
+        after(bootMs) { worker.start() }
+        return worker
+    }
+
+    fun breach(what: String) {
+        broken.add("${time / 1000.0} s: $what")
+    }
+
+    /** A job as a scenario describes it, with what its tasks really do. */
+    class SimJob(
+        val spec: JobSpec,
+        val runMs: Long,
+        val fails: Boolean,
+    ) {
+        var abortedAt = 0L
+        val completed = HashSet<Int>()
+    }
+
+    /** Checks, when a task starts, that the rules hold. */
+    fun started(
+        worker: SimWorker,
+        id: TaskId,
+    ) {
+        val job = jobs.getValue(id.ref)
+        val everywhere = workers.values.flatMap { w -> w.onMachine().map { w to it } }
+        if (everywhere.count { it.second == id } > 1) breach("ran_twice $id on ${everywhere.filter { it.second == id }.map { it.first.name }}")
+        val team = settings.teams.first { it.name == job.spec.crew }
+        val used = everywhere.filter { jobs.getValue(it.second.ref).spec.crew == team.name }.sumOf { jobs.getValue(it.second.ref).spec.cpus }
+        if (team.maxCpus > 0 && used > team.maxCpus + 1e-6) breach("quota of ${team.name}: $used")
+        val spec = job.spec
+        val mine = everywhere.filter { it.second.ref == id.ref }
+        val wrong =
+            (worker.spot && !spec.driftwood) || (spec.yard != null && spec.yard != worker.yard) ||
+                (spec.builds != null && worker.flavor.label !in spec.builds.orEmpty()) ||
+                (spec.oneZone && mine.any { it.first.yard != worker.yard }) ||
+                (spec.apart && mine.count { it.first.yard == worker.yard } > (spec.pieces + 1) / 2)
+        if (wrong) breach("wrong_place $id on ${worker.name} in ${worker.yard}")
+        checkCancelled()
+    }
+
+    fun checkCancelled() {
+        for ((ref, job) in jobs) {
+            if (job.abortedAt == 0L || time - job.abortedAt <= settings.workers.cancelS * 1000) continue
+            workers.values.forEach { w -> w.onMachine().filter { it.ref == ref }.forEach { breach("ran_cancelled $it on ${w.name}") } }
+        }
+    }
+
+    fun answered(
+        ref: String,
+        answer: UserAnswer,
+    ) {
+        val stage = answer.body["stage"] as? String ?: return
+        val job = jobs[ref]
+        val before = told[ref]
+        if (before in setOf("done", "aborted") && stage != before) breach("went_back $ref from $before to $stage")
+        if (stage == "done" && job != null && job.completed.size < job.spec.pieces) breach("not_done $ref")
+        told[ref] = stage
+        if (stage == "aborted" && job != null && job.abortedAt == 0L) job.abortedAt = time
+    }
+
+    /** One controller; [up] and the cuts say what reaches it. */
+    inner class SimNode(
+        val index: Int,
+    ) {
+        val label = settingsOf(index).label
+        var up = false
+        var stateCut = false
+        var workersCut = false
+
+        /** Sends of the next direct commands arrive this much later, and their answers are lost. */
+        var lateDirectMs = 0L
+        var life = 0
+        var controller: Controller? = null
+        private var watchedTo = 0L
+        private var loaded = false
+
+        fun start() {
+            up = true
+            life++
+            loaded = false
+            controller = Controller(settingsOf(index), tuning, this@World, Out(life), "$label-$life")
+            tick(life)
+            watch(life)
+        }
+
+        fun crash() {
+            up = false
+            life++
+            controller = null
+        }
+
+        private fun tick(of: Int) {
+            if (life != of) return
+            controller?.tick()
+            after(250) { tick(of) }
+        }
+
+        private fun watch(of: Int) {
+            if (life != of) return
+            if (!stateCut && state.up) {
+                val c = controller ?: return
+                if (!loaded) {
+                    loaded = true
+                    watchedTo = state.epoch
+                    c.cluster.snapshot(state.list("c/"), now())
+                } else {
+                    val news = state.since(watchedTo)
+                    watchedTo = state.epoch
+                    c.cluster.clusterEvents(news.filter { it.path.startsWith("c/") }, now())
+                    c.cluster.refEvents(news.filter { it.path.startsWith("ref/") }, now())
+                }
+            }
+            after(40) { watch(of) }
+        }
+
+        fun ask(
+            ref: String,
+            question: (Controller, (UserAnswer) -> Unit) -> Unit,
+            done: (UserAnswer) -> Unit = {},
+        ) {
+            val c = controller ?: return
+            question(c) {
+                answered(ref, it)
+                done(it)
+            }
+        }
+
+        private inner class Out(
+            val of: Int,
+        ) : Outward {
+            override val stateAnswers: Boolean get() = !stateCut && state.up
+
+            private fun <T> reply(
+                ms: Long,
+                done: (T) -> Unit,
+                make: () -> T,
+            ) = after(ms) { if (life == of) done(make()) }
+
+            private val reachable: Boolean get() = !stateCut && state.up && life == of
+
+            override fun commit(
+                change: Change,
+                refusable: Boolean,
+            ): Boolean {
+                after(3) {
+                    if (life != of) return@after
+                    if (!reachable) {
+                        after(300) { commit(change, false) }
+                        return@after
+                    }
+                    val outcome: Outcome = state.commit(change)
+                    reply(3, change.done) { outcome }
+                }
+                return true
+            }
+
+            override fun get(
+                path: String,
+                done: (Fetched) -> Unit,
+            ) = reply(4, done) {
+                if (!reachable) Fetched.Failed else state.get(path)?.let { Fetched.Found(it) } ?: Fetched.Missing
+            }
+
+            override fun list(
+                prefix: String,
+                done: (List<Item>?) -> Unit,
+            ) = reply(5, done) { if (reachable) state.list(prefix) else null }
+
+            override fun direct(
+                addr: String,
+                baton: Long,
+                tenure: Long,
+                orders: List<Order>,
+                done: (Reply) -> Unit,
+            ) {
+                val worker = workers.values.firstOrNull { it.addr == addr }
+                val late = lateDirectMs
+                lateDirectMs = 0L
+                when {
+                    worker == null || workersCut || worker.cut -> {
+                        reply(800, done) { Reply.NotSent("no route") }
+                    }
+
+                    late > 0L -> {
+                        after(late) { worker.direct(baton, tenure, orders) }
+                        reply(2500, done) { Reply.Unanswered("late") }
+                    }
+
+                    worker.hung -> {
+                        worker.whenResumed { worker.direct(baton, tenure, orders) }
+                        reply(2500, done) { Reply.Unanswered("hung") }
+                    }
+
+                    else -> {
+                        after(2) {
+                            val answer = worker.direct(baton, tenure, orders)
+                            reply(2, done) { answer }
+                        }
+                    }
+                }
+            }
+
+            override fun rent(
+                rental: Rental,
+                done: (Rented) -> Unit,
+            ) = reply(200, done) {
+                val names =
+                    charters.getOrPut(rental.charter) {
+                        val n = minOf(rental.count, capacity - workers.size).coerceAtLeast(0)
+                        (0 until n).map { addWorker(rental.build, rental.yard, rental.driftwood, bootMs(rental.build)).name }
+                    }
+                if (names.isEmpty()) Rented.NoCapacity else Rented.Hosts(names)
+            }
+
+            override fun giveBack(
+                hosts: List<String>,
+                done: (Boolean) -> Unit,
+            ) = after(200) {
+                hosts.forEach { workers.remove(it)?.vanish() }
+                reply(1, done) { true }
+            }
+
+            override fun listHosts(done: (List<ListedHost>?) -> Unit) =
+                reply(200, done) {
+                    workers.values.map { ListedHost(it.name, it.flavor.label, it.yard, it.spot, "running", 0.0) }
+                }
+
+            override fun flavors(done: (List<Flavor>?) -> Unit) = reply(100, done) { flavors }
+
+            override fun extendLease(
+                lease: Long?,
+                lifeMs: Long,
+                done: (LeaseState) -> Unit,
+            ) = reply(4, done) {
+                when {
+                    !reachable -> LeaseState.Unknown
+                    lease == null -> LeaseState.Held(state.lease(lifeMs), true)
+                    state.extend(lease, lifeMs) -> LeaseState.Held(lease, false)
+                    else -> LeaseState.Lost
+                }
+            }
+
+            override fun shareLimits(
+                aliveNodes: Int,
+                leading: Boolean,
+            ) = Unit
+        }
+    }
+
+    private fun bootMs(build: String) = (flavors.first { it.label == build }.startupS * 1000).toLong()
+
+    companion object {
+        fun address(
+            node: Int,
+            port: Int,
+        ) = InetSocketAddress("10.0.0.${node + 1}", port)
+
+        fun spec(
+            ref: String,
+            args: Map<String, String>,
+        ) = JobSpec(
+            ref = ref,
+            lot = args["lot"] ?: "lot",
+            crew = args["crew"] ?: "a",
+            service = args["shape"] == "service",
+            rank = Rank.of(args["rank"] ?: "standard"),
+            pieces = args["pieces"]?.toInt() ?: 1,
+            cpus = args["cpus"]?.toDouble() ?: 1.0,
+            gpus = 0.0,
+            memGb = 1.0,
+            bundle = args["bundle"] ?: "img",
+            sizeGb = args["sizeGb"]?.toDouble() ?: 0.1,
+            builds = null,
+            yard = args["yard"],
+            oneZone = args["oneZone"] == "true",
+            apart = args["apart"] == "true",
+            driftwood = args["spot"] == "true",
+            guessS = args["run"]?.toDouble() ?: 10.0,
+            markS = args["mark"]?.toDouble() ?: 0.0,
+            stowS = 1.0,
+            dueS = null,
+        )
+    }
+
+    fun workerAnswer(
+        node: SimNode,
+        report: io.reedmast.wire.Report,
+    ): WorkerAnswer? = node.controller?.checkin(report)
+}
