--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -82,6 +82,8 @@
         if (!owner.active) return WorkerAnswer.Orders(cluster.records[slice.value]?.record?.token ?: 0L, emptyList())
         val orders = owner.checkin(report)
         owner.settle()
+        // The worker would drop our answer and stay here until its lease is over: it must look for the slice's new owner.
+        if (report.baton > owner.record.token) return WorkerAnswer.Elsewhere(null)
         return WorkerAnswer.Orders(owner.record.token, orders)
     }
 
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -108,6 +108,8 @@
     private var placeWanted = false
     private var lastCharged = 0L
     private var activeAt = 0L
+    private var greetDue = 0L
+    private var greeting = false
     private var totalsStamp = 0L
     private var totalsWriting = false
     private var totalsDue = 0L
@@ -176,6 +178,7 @@
         }
         active = true
         activeAt = clock.now()
+        greetDue = activeAt + GREET_AFTER_MS
         lastCharged = clock.now()
         val told = LinkedHashMap(early)
         early.clear()
@@ -564,6 +567,51 @@
         }
     }
 
+    /**
+     * Shows our token to machines that have not reported since the slice was taken.
+     *
+     * Their workers may still report to the old owner, which answers them as long as it does not know better; having seen
+     * our token they drop its answers, and its commands reach them no more.
+     */
+    private fun greet(now: Long) {
+        if (greetDue == 0L || now < greetDue || greeting) return
+        if (machines.values.none { toGreet(it) }) {
+            if (now - activeAt > GREET_FOR_MS) greetDue = 0L
+            return
+        }
+        greeting = true
+        greetDue = now + GREET_EVERY_MS
+        out.listHosts { hosts ->
+            greeting = false
+            if (dropped) return@listHosts
+            for (host in hosts.orEmpty()) {
+                val machine = machines[host.name]?.takeIf { toGreet(it) } ?: continue
+                val addr = host.addr ?: continue
+                greet(machine, addr, machine.tenure, again = true)
+            }
+        }
+    }
+
+    private fun toGreet(machine: Machine) = !machine.trusted && machine.retirement == null && machine.placements.isNotEmpty()
+
+    private fun greet(
+        machine: Machine,
+        addr: String,
+        tenure: Long,
+        again: Boolean,
+    ) {
+        out.direct(addr, record.token, tenure, emptyList()) { reply ->
+            if (dropped || reply !is Reply.Answer || (reply.status != 200 && reply.status != 409)) return@direct
+            guarded("answer of ${machine.name}") {
+                val report = Report.parse(reply.body)
+                take(machine, report, checkin = false, ArrayList())
+                // Refused for its session, which the answer tells.
+                if (again && report.baton < record.token) greet(machine, addr, report.tenure, again = false)
+            }
+            settle()
+        }
+    }
+
     // ---- deciding -------------------------------------------------------------------------------------------------
 
     /** Brings decisions, stored records and commands up to date after something has changed. */
@@ -664,8 +712,11 @@
         ready: List<Job>,
         wall: Long,
     ) {
+        val coming = coming()
         for (job in ready) {
             if (!job.spec.rank.funded || job.waitingCount <= job.preempting || allowance(job) <= job.preempting) continue
+            // What only has to be done some time fits on the machines that are on their way; what has to start soon does not.
+            if (!job.startsSoon() && coming.takeAll(job)) continue
             val request = Request(job.spec.rank, within(job.team, job.spec), ratio(job.team, wall))
             for (machine in machines.values) {
                 if (job.waitingCount <= job.preempting) break
@@ -682,6 +733,21 @@
         }
     }
 
+    private fun Job.startsSoon() = spec.service || settings.objectives.any { it.kind == "wait" && it.lot == spec.lot }
+
+    /** The room of machines that have not come up yet. */
+    private fun coming(): List<Room> =
+        machines.values
+            .filter { !it.trusted && it.retirement == null && it.flavor != null }
+            .map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
+
+    private fun List<Room>.takeAll(job: Job): Boolean {
+        repeat(minOf(job.waitingCount, allowance(job))) {
+            (firstOrNull { it.fits(job.spec) } ?: return false).take(job.spec)
+        }
+        return true
+    }
+
     private fun victims(
         job: Job,
         machine: Machine,
@@ -865,6 +931,7 @@
         if (!active || dropped) return
         val now = clock.now()
         charge(now)
+        greet(now)
         watchMachines(now)
         if (jobs.values.any { it.waitingCount > 0 && it.notBefore in 1..now }) placeWanted = true
         if (gone.isNotEmpty()) records.removeHosts(index, gone)
@@ -1024,8 +1091,7 @@
     // ---- what the leader needs to know ------------------------------------------------------------------------------
 
     fun demand(): List<Demand> {
-        val booting = machines.values.filter { !it.trusted && it.retirement == null && it.flavor != null }
-        val room = booting.map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
+        val room = coming()
         val shapes = LinkedHashMap<Demand, Int>()
         val excess = excess()
         val left = HashMap<TeamIndex, Double>()
@@ -1133,6 +1199,9 @@
     }
 
     private companion object {
+        const val GREET_AFTER_MS = 2_500L
+        const val GREET_EVERY_MS = 4_000L
+        const val GREET_FOR_MS = 30_000L
         const val ATTEMPT_BITS = 22
         const val LOOKAHEAD_S = 60.0
         const val CHARGE_EVERY_S = 1.0
--- a/src/main/kotlin/io/reedmast/wire/CloudMessages.kt
+++ b/src/main/kotlin/io/reedmast/wire/CloudMessages.kt
@@ -48,6 +48,7 @@
 /** A line of the cloud's machine list. */
 data class ListedHost(
     val name: String,
+    val addr: String?,
     val build: String,
     val yard: String,
     val driftwood: Boolean,
@@ -58,6 +59,7 @@
         fun parse(it: Fields): ListedHost =
             ListedHost(
                 it.text("ref"),
+                it.optionalText("addr"),
                 it.text("build"),
                 it.text("yard"),
                 it.optionalFlag("driftwood"),
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -306,7 +306,7 @@
 
             override fun listHosts(done: (List<ListedHost>?) -> Unit) =
                 reply(200, done) {
-                    workers.values.map { ListedHost(it.name, it.flavor.label, it.yard, it.spot, "running", 0.0) }
+                    workers.values.map { ListedHost(it.name, it.addr, it.flavor.label, it.yard, it.spot, "running", 0.0) }
                 }
 
             override fun flavors(done: (List<Flavor>?) -> Unit) = reply(100, done) { flavors }
