--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -49,6 +49,9 @@
     private val charters = HashMap<String, List<String>>()
     private var hosts = 0
     var capacity = Int.MAX_VALUE
+
+    /** The cloud neither rents nor takes machines back while this is set. */
+    var cloudOut = false
     val settings = settingsOf(0)
 
     override fun now(): Long = time
@@ -153,6 +156,9 @@
 
         /** Sends of the next direct commands arrive this much later, and their answers are lost. */
         var lateDirectMs = 0L
+
+        /** The next transaction is applied this much later, whatever has become of the node. */
+        var lateCommitMs = 0L
         var life = 0
         var controller: Controller? = null
         private var watchedTo = 0L
@@ -226,6 +232,14 @@
                 change: Change,
                 refusable: Boolean,
             ): Boolean {
+                if (lateCommitMs > 0L) {
+                    after(lateCommitMs) {
+                        val outcome = state.commit(change)
+                        reply(3, change.done) { outcome }
+                    }
+                    lateCommitMs = 0L
+                    return true
+                }
                 after(3) {
                     if (life != of) return@after
                     if (!reachable) {
@@ -290,6 +304,7 @@
             ) = reply(200, done) {
                 val names =
                     charters.getOrPut(rental.charter) {
+                        if (cloudOut) return@reply Rented.Failed
                         val n = minOf(rental.count, capacity - workers.size).coerceAtLeast(0)
                         (0 until n).map { addWorker(rental.build, rental.yard, rental.driftwood, bootMs(rental.build)).name }
                     }
@@ -300,8 +315,9 @@
                 hosts: List<String>,
                 done: (Boolean) -> Unit,
             ) = after(200) {
-                hosts.forEach { workers.remove(it)?.vanish() }
-                reply(1, done) { true }
+                if (!cloudOut) hosts.forEach { workers.remove(it)?.vanish() }
+                val confirmed = !cloudOut
+                reply(1, done) { confirmed }
             }
 
             override fun listHosts(done: (List<ListedHost>?) -> Unit) =
