--- a/src/main/kotlin/io/reedmast/app/Desk.kt
+++ b/src/main/kotlin/io/reedmast/app/Desk.kt
@@ -16,19 +16,13 @@
  * All state of the service is touched by this thread alone. Queues for what comes from outside are bounded; results of
  * the node's own calls are not refused, since the calls themselves are bounded.
  */
-class Desk(
-    private val clock: Clock,
-    private val maxQueued: Int,
-) {
+class Desk(private val clock: Clock, private val maxQueued: Int) {
     private val log = LoggerFactory.getLogger("desk")
     private val lock = Object()
     private val queues = Urgency.entries.map { ArrayDeque<() -> Unit>() }
 
     /** False if there is too much to do already. */
-    fun offer(
-        urgency: Urgency,
-        work: () -> Unit,
-    ): Boolean {
+    fun offer(urgency: Urgency, work: () -> Unit): Boolean {
         synchronized(lock) {
             val queue = queues[urgency.ordinal]
             if (queue.size >= maxQueued) return false
@@ -47,10 +41,7 @@
     }
 
     /** The body of the deciding thread: runs [tick] about every [tickMs]. */
-    fun run(
-        tickMs: Long,
-        tick: () -> Unit,
-    ) {
+    fun run(tickMs: Long, tick: () -> Unit) {
         var nextTick = clock.now()
         while (!Thread.currentThread().isInterrupted) {
             val work = next(nextTick)
--- a/src/main/kotlin/io/reedmast/app/FrontDoor.kt
+++ b/src/main/kotlin/io/reedmast/app/FrontDoor.kt
@@ -29,17 +29,14 @@
  *
  * Submissions and polls may hold only part of the threads, so that reports of workers always find one.
  */
-class FrontDoor(
-    private val settings: Settings,
-    private val node: Node,
-) {
+class FrontDoor(private val settings: Settings, private val node: Node, private val timings: Timings) {
     private val submissions = Semaphore(SUBMISSIONS_AT_ONCE)
     private val questions = Semaphore(QUESTIONS_AT_ONCE)
 
     private val handler: HttpHandler =
         routes(
-            "/checkin" bind Method.POST to ::checkin,
-            "/submissions" bind Method.POST to ::submit,
+            "/checkin" bind Method.POST to { request -> timings.time("checkin") { checkin(request) } },
+            "/submissions" bind Method.POST to { request -> timings.time("submission") { submit(request) } },
             "/submissions/{id}" bind Method.GET to { request -> ask(request) { id, answer -> node.poll(id, answer) } },
             "/submissions/{id}/abort" bind Method.POST to { request -> ask(request) { id, answer -> node.abort(id, answer) } },
             "/healthz" bind Method.GET to { if (node.healthy()) Response(Status.OK) else Response(Status.SERVICE_UNAVAILABLE) },
@@ -56,16 +53,15 @@
         server.start()
     }
 
-    private fun checkin(request: Request): Response =
-        reading(request) { fields ->
-            val report = Report.parse(fields)
-            val answer = await(WORKER_PATIENCE_MS) { node.checkin(report, it) }
-            when (answer) {
-                null, WorkerAnswer.Unavailable -> Response(Status.SERVICE_UNAVAILABLE)
-                is WorkerAnswer.Orders -> cbor(Status.OK, mapOf("baton" to answer.baton, "orders" to answer.orders.map { it.toFields() }))
-                is WorkerAnswer.Elsewhere -> cbor(MISDIRECTED, mapOf("steward" to answer.label))
-            }
+    private fun checkin(request: Request): Response = reading(request) { fields ->
+        val report = Report.parse(fields)
+        val answer = await(WORKER_PATIENCE_MS) { node.checkin(report, it) }
+        when (answer) {
+            null, WorkerAnswer.Unavailable -> Response(Status.SERVICE_UNAVAILABLE)
+            is WorkerAnswer.Orders -> cbor(Status.OK, mapOf("baton" to answer.baton, "orders" to answer.orders.map { it.toFields() }))
+            is WorkerAnswer.Elsewhere -> cbor(MISDIRECTED, mapOf("steward" to answer.label))
         }
+    }
 
     private fun submit(request: Request): Response {
         if (!submissions.tryAcquire()) return busy()
@@ -79,14 +75,11 @@
         }
     }
 
-    private fun ask(
-        request: Request,
-        question: (String, (UserAnswer) -> Unit) -> Boolean,
-    ): Response {
+    private fun ask(request: Request, question: (String, (UserAnswer) -> Unit) -> Boolean): Response {
         val id = request.path("id").orEmpty()
         if (!questions.tryAcquire()) return busy()
         try {
-            return user(await(QUESTION_PATIENCE_MS) { question(id, it) })
+            return timings.time("question") { user(await(QUESTION_PATIENCE_MS) { question(id, it) }) }
         } finally {
             questions.release()
         }
@@ -101,10 +94,7 @@
     private fun busy() = Response(Status.TOO_MANY_REQUESTS).header("Retry-After", "1")
 
     /** Null if the deciding thread has too much to do, or gives no answer in time. */
-    private fun <T : Any> await(
-        patienceMs: Long,
-        ask: ((T) -> Unit) -> Boolean,
-    ): T? {
+    private fun <T : Any> await(patienceMs: Long, ask: ((T) -> Unit) -> Boolean): T? {
         val future = CompletableFuture<T>()
         if (!ask { future.complete(it) }) return null
         return try {
@@ -114,10 +104,7 @@
         }
     }
 
-    private inline fun reading(
-        request: Request,
-        use: (Fields) -> Response,
-    ): Response {
+    private inline fun reading(request: Request, use: (Fields) -> Response): Response {
         val length = request.header("Content-Length")?.toLongOrNull()
         if (length != null && length > MAX_BODY) return tooLarge()
         val bytes = request.body.stream.readNBytes(MAX_BODY + 1)
@@ -131,10 +118,8 @@
 
     private fun tooLarge() = Response(Status.REQUEST_ENTITY_TOO_LARGE).header("Connection", "close")
 
-    private fun cbor(
-        status: Status,
-        fields: Fields,
-    ): Response = Response(status).header("Content-Type", "application/cbor").body(Body(ByteBuffer.wrap(Tree.writeCbor(fields))))
+    private fun cbor(status: Status, fields: Fields): Response =
+        Response(status).header("Content-Type", "application/cbor").body(Body(ByteBuffer.wrap(Tree.writeCbor(fields))))
 
     private companion object {
         val MISDIRECTED = Status(421, "Misdirected Request")
--- a/src/main/kotlin/io/reedmast/app/Main.kt
+++ b/src/main/kotlin/io/reedmast/app/Main.kt
@@ -1,7 +1,7 @@
 package io.reedmast.app
 
-import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.parameters.options.check
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.double
+import io.reedmast.peers.PeerServer
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SettingsException
 import io.reedmast.settings.Tuning
@@ -36,14 +37,11 @@
     private val idle by seconds("idle", Tuning().idleS, "How long an empty machine is kept")
     private val rehearse by option(help = "Stop after this time: the build records the classes that start-up loads", metavar = "SECONDS").double()
 
-    private fun seconds(
-        name: String,
-        value: Double,
-        help: String,
-    ) = option("--$name-s", envvar = "REEDMAST_${name.uppercase().replace('-', '_')}_S", help = "$help, in seconds (default $value)", metavar = "SECONDS")
-        .double()
-        .default(value)
-        .check("must be above 0") { it > 0 && it.isFinite() }
+    private fun seconds(name: String, value: Double, help: String) =
+        option("--$name-s", envvar = "REEDMAST_${name.uppercase().replace('-', '_')}_S", help = "$help, in seconds (default $value)", metavar = "SECONDS")
+            .double()
+            .default(value)
+            .check("must be above 0") { it > 0 && it.isFinite() }
 
     init {
         versionOption(Reedmast::class.java.`package`?.implementationVersion ?: "development", names = setOf("--version"))
@@ -67,11 +65,15 @@
         // Time of day and process start make charters of two lives of a node differ.
         val charterPrefix = "${settings.label}-${java.lang.Long.toString(SystemClock.wall(), 36)}-${java.lang.Long.toString(System.nanoTime(), 36)}"
         val controller = Controller(settings, Tuning(window, protectCap, resize, totals, idle), SystemClock, out, charterPrefix)
-        val node = Node(desk, controller)
+        val timings = Timings(SystemClock)
+        val node = Node(desk, controller, timings)
         try {
-            FrontDoor(settings, node).start()
+            FrontDoor(settings, node, timings).start()
+            val peers = PeerServer(settings.clusterListen, RealOutward.pool("peer-in", settings.members.size * 2, settings.members.size), node::progress)
+            val listening = peers.open()
+            RealOutward.startThread("peers") { peers.run(listening) }
         } catch (e: IOException) {
-            System.err.println("reedmast: front ${settings.front}: ${e.message}")
+            System.err.println("reedmast: cannot listen on front ${settings.front} or cluster_listen ${settings.clusterListen}: ${e.message}")
             throw ProgramResult(2)
         }
         out.start()
--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -4,6 +4,7 @@
 import io.reedmast.jobs.JobDoor
 import io.reedmast.jobs.UserAnswer
 import io.reedmast.ownership.Cluster
+import io.reedmast.peers.Progress
 import io.reedmast.settings.Settings
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Event
@@ -12,30 +13,22 @@
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.Order
 import io.reedmast.wire.Report
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 
 /** The answer to a worker's report. */
 sealed interface WorkerAnswer {
-    data class Orders(
-        val baton: Long,
-        val orders: List<Order>,
-    ) : WorkerAnswer
+    data class Orders(val baton: Long, val orders: List<Order>) : WorkerAnswer
 
     /** Another node answers this worker; null: nobody is known to. */
-    data class Elsewhere(
-        val label: String?,
-    ) : WorkerAnswer
+    data class Elsewhere(val label: String?) : WorkerAnswer
 
     data object Unavailable : WorkerAnswer
 }
 
 /** All the deciding parts of a controller, joined; used by one thread. */
-class Controller(
-    private val settings: Settings,
-    tuning: Tuning,
-    private val clock: Clock,
-    private val out: Outward,
-    charterPrefix: String,
-) {
+class Controller(private val settings: Settings, tuning: Tuning, private val clock: Clock, private val out: Outward, charterPrefix: String) {
     private var flavors: Map<String, Flavor> = emptyMap()
     private var flavorsAsked = false
     private var flavorsDue = 0L
@@ -87,20 +80,13 @@
         return WorkerAnswer.Orders(owner.record.token, orders)
     }
 
-    fun submit(
-        spec: JobSpec,
-        answer: (UserAnswer) -> Unit,
-    ) = jobs.submit(spec, answer)
+    fun submit(spec: JobSpec, answer: (UserAnswer) -> Unit) = jobs.submit(spec, answer)
 
-    fun poll(
-        ref: String,
-        answer: (UserAnswer) -> Unit,
-    ) = jobs.poll(ref, answer)
+    fun poll(ref: String, answer: (UserAnswer) -> Unit) = jobs.poll(ref, answer)
 
-    fun abort(
-        ref: String,
-        answer: (UserAnswer) -> Unit,
-    ) = jobs.abort(ref, answer)
+    fun abort(ref: String, answer: (UserAnswer) -> Unit) = jobs.abort(ref, answer)
+
+    fun progress(ref: String): Progress? = cluster.owned().firstNotNullOfOrNull { it.progress(ref) }
 
     fun healthy(): Boolean = cluster.ready && cluster.fresh() && flavors.isNotEmpty()
 
@@ -111,10 +97,7 @@
 }
 
 /** What the threads at the door and at the watches may ask of the deciding thread. */
-class Node(
-    private val desk: Desk,
-    private val controller: Controller,
-) {
+class Node(private val desk: Desk, private val controller: Controller, private val timings: Timings) {
     @Volatile
     private var healthyNow = false
 
@@ -122,43 +105,38 @@
 
     fun tick() {
         controller.tick()
+        timings.tick()
         healthyNow = controller.healthy()
     }
 
-    fun checkin(
-        report: Report,
-        answer: (WorkerAnswer) -> Unit,
-    ): Boolean = desk.offer(Urgency.REPORT) { answer(controller.checkin(report)) }
-
-    fun submit(
-        spec: JobSpec,
-        answer: (UserAnswer) -> Unit,
-    ): Boolean = desk.offer(Urgency.SUBMISSION) { controller.submit(spec, answer) }
-
-    fun poll(
-        ref: String,
-        answer: (UserAnswer) -> Unit,
-    ): Boolean = desk.offer(Urgency.SUBMISSION) { controller.poll(ref, answer) }
-
-    fun abort(
-        ref: String,
-        answer: (UserAnswer) -> Unit,
-    ): Boolean = desk.offer(Urgency.SUBMISSION) { controller.abort(ref, answer) }
-
-    fun snapshot(
-        items: List<Item>,
-        askedAt: Long,
-    ) = desk.post { controller.cluster.snapshot(items, askedAt) }
-
-    fun clusterEvents(
-        events: List<Event>,
-        askedAt: Long,
-    ) = desk.post { controller.cluster.clusterEvents(events, askedAt) }
-
-    fun refEvents(
-        events: List<Event>,
-        askedAt: Long,
-    ) = desk.post { controller.cluster.refEvents(events, askedAt) }
+    fun checkin(report: Report, answer: (WorkerAnswer) -> Unit): Boolean = desk.offer(Urgency.REPORT) { answer(controller.checkin(report)) }
+
+    fun submit(spec: JobSpec, answer: (UserAnswer) -> Unit): Boolean = desk.offer(Urgency.SUBMISSION) { controller.submit(spec, answer) }
+
+    fun poll(ref: String, answer: (UserAnswer) -> Unit): Boolean = desk.offer(Urgency.SUBMISSION) { controller.poll(ref, answer) }
+
+    fun abort(ref: String, answer: (UserAnswer) -> Unit): Boolean = desk.offer(Urgency.SUBMISSION) { controller.abort(ref, answer) }
+
+    /** What this node knows of a job, for a peer that waits for the answer; null if it has too much to do. */
+    fun progress(ref: String): Progress? {
+        val answer = CompletableFuture<Progress?>()
+        if (!desk.offer(Urgency.SUBMISSION) { answer.complete(controller.progress(ref)) }) return null
+        return try {
+            answer.get(PEER_PATIENCE_MS, TimeUnit.MILLISECONDS)
+        } catch (e: TimeoutException) {
+            null
+        }
+    }
+
+    fun snapshot(items: List<Item>, askedAt: Long) = desk.post { controller.cluster.snapshot(items, askedAt) }
+
+    fun clusterEvents(events: List<Event>, askedAt: Long) = desk.post { controller.cluster.clusterEvents(events, askedAt) }
+
+    fun refEvents(events: List<Event>, askedAt: Long) = desk.post { controller.cluster.refEvents(events, askedAt) }
 
     fun refsLost() = desk.post { controller.cluster.refsLost() }
+
+    private companion object {
+        const val PEER_PATIENCE_MS = 400L
+    }
 }
--- a/src/main/kotlin/io/reedmast/app/Outward.kt
+++ b/src/main/kotlin/io/reedmast/app/Outward.kt
@@ -1,6 +1,7 @@
 package io.reedmast.app
 
 import io.reedmast.fleet.Rental
+import io.reedmast.peers.Progress
 import io.reedmast.state.Change
 import io.reedmast.state.Fetched
 import io.reedmast.state.Item
@@ -18,9 +19,7 @@
 
 /** What a rental request came to. */
 sealed interface Rented {
-    data class Hosts(
-        val names: List<String>,
-    ) : Rented
+    data class Hosts(val names: List<String>) : Rented
 
     data object NoCapacity : Rented
 
@@ -35,67 +34,39 @@
  */
 interface Outward {
     /** False if refused because too much waits already; only a [refusable] change can be. */
-    fun commit(
-        change: Change,
-        refusable: Boolean = false,
-    ): Boolean
+    fun commit(change: Change, refusable: Boolean = false): Boolean
 
     /** False while the state service is known not to take changes. */
     val stateAnswers: Boolean
 
-    fun get(
-        path: String,
-        done: (Fetched) -> Unit,
-    )
+    fun get(path: String, done: (Fetched) -> Unit)
 
-    fun list(
-        prefix: String,
-        done: (List<Item>?) -> Unit,
-    )
+    fun list(prefix: String, done: (List<Item>?) -> Unit)
+
+    /** Asks another node, by its label, how far a job is. */
+    fun progress(label: String, ref: String, done: (Progress?) -> Unit)
 
     /** Sends commands to a worker directly. */
-    fun direct(
-        addr: String,
-        baton: Long,
-        tenure: Long,
-        orders: List<Order>,
-        done: (Reply) -> Unit,
-    )
-
-    fun rent(
-        rental: Rental,
-        done: (Rented) -> Unit,
-    )
+    fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit)
+
+    fun rent(rental: Rental, done: (Rented) -> Unit)
 
     /** Returns machines; true only if the cloud has confirmed that they are gone. */
-    fun giveBack(
-        hosts: List<String>,
-        done: (Boolean) -> Unit,
-    )
+    fun giveBack(hosts: List<String>, done: (Boolean) -> Unit)
 
     fun listHosts(done: (List<ListedHost>?) -> Unit)
 
     fun flavors(done: (List<Flavor>?) -> Unit)
 
-    fun extendLease(
-        lease: Long?,
-        lifeMs: Long,
-        done: (LeaseState) -> Unit,
-    )
+    fun extendLease(lease: Long?, lifeMs: Long, done: (LeaseState) -> Unit)
 
     /** How many nodes share the limits of state service and cloud. */
-    fun shareLimits(
-        aliveNodes: Int,
-        leading: Boolean,
-    )
+    fun shareLimits(aliveNodes: Int, leading: Boolean)
 }
 
 /** A lease of this node after an attempt to renew it, or to get a new one. */
 sealed interface LeaseState {
-    data class Held(
-        val lease: Long,
-        val fresh: Boolean,
-    ) : LeaseState
+    data class Held(val lease: Long, val fresh: Boolean) : LeaseState
 
     data object Lost : LeaseState
 
--- a/src/main/kotlin/io/reedmast/app/RealOutward.kt
+++ b/src/main/kotlin/io/reedmast/app/RealOutward.kt
@@ -3,6 +3,8 @@
 import com.google.common.util.concurrent.RateLimiter
 import com.google.common.util.concurrent.ThreadFactoryBuilder
 import io.reedmast.fleet.Rental
+import io.reedmast.peers.PeerClient
+import io.reedmast.peers.Progress
 import io.reedmast.settings.Settings
 import io.reedmast.state.Change
 import io.reedmast.state.Committer
@@ -25,11 +27,7 @@
 import java.util.concurrent.TimeUnit
 
 /** Hands calls to small pools of threads and brings their results back to the deciding thread. */
-class RealOutward(
-    private val settings: Settings,
-    private val desk: Desk,
-    private val client: StateClient,
-) : Outward {
+class RealOutward(private val settings: Settings, private val desk: Desk, private val client: StateClient) : Outward {
     private val log = LoggerFactory.getLogger("cloud")
     private val committer =
         Committer(client, settings.stateLimits, MAX_SUBMISSIONS_QUEUED) { change, outcome -> desk.post { change.done(outcome) } }
@@ -37,6 +35,8 @@
     private val leases = pool("lease", 1, 4)
     private val directs = pool("direct", DIRECT_THREADS, DIRECTS_QUEUED)
     private val cloudCalls = pool("cloud", 2, CLOUD_QUEUED)
+    private val peerCalls = pool("peer", settings.members.size, PEER_CALLS_QUEUED)
+    private val peers = settings.members.filter { it.label != settings.label }.associate { it.label to PeerClient(it.address) }
     private val workerCaller = Caller(WORKER_CONNECT_MS, WORKER_READ_MS)
     private val cloudCaller = Caller(CLOUD_CONNECT_MS, CLOUD_READ_MS)
     private val cloudLimit = RateLimiter.create(settings.cloudLimits.requestsPerS / settings.members.size)
@@ -47,36 +47,20 @@
         repeat(COMMIT_THREADS) { startThread("commit-$it", committer::run) }
     }
 
-    override fun commit(
-        change: Change,
-        refusable: Boolean,
-    ): Boolean = committer.offer(change, refusable)
-
-    override fun get(
-        path: String,
-        done: (Fetched) -> Unit,
-    ) = call(reads, { client.get(path) }, Fetched.Failed, done)
-
-    override fun list(
-        prefix: String,
-        done: (List<Item>?) -> Unit,
-    ) = call(reads, { client.list(prefix)?.first }, null, done)
-
-    override fun direct(
-        addr: String,
-        baton: Long,
-        tenure: Long,
-        orders: List<Order>,
-        done: (Reply) -> Unit,
-    ) {
+    override fun commit(change: Change, refusable: Boolean): Boolean = committer.offer(change, refusable)
+
+    override fun get(path: String, done: (Fetched) -> Unit) = call(reads, { client.get(path) }, Fetched.Failed, done)
+
+    override fun list(prefix: String, done: (List<Item>?) -> Unit) = call(reads, { client.list(prefix)?.first }, null, done)
+
+    override fun progress(label: String, ref: String, done: (Progress?) -> Unit) = call(peerCalls, { peers[label]?.progress(ref) }, null, done)
+
+    override fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit) {
         val body = mapOf("baton" to baton, "tenure" to tenure, "orders" to orders.map { it.toFields() })
         call(directs, { workerCaller.call("POST", addr, "/do", body) }, Reply.NotSent("too many calls"), done)
     }
 
-    override fun rent(
-        rental: Rental,
-        done: (Rented) -> Unit,
-    ) {
+    override fun rent(rental: Rental, done: (Rented) -> Unit) {
         val body =
             mapOf(
                 "charter" to rental.charter,
@@ -98,10 +82,7 @@
         }
     }
 
-    override fun giveBack(
-        hosts: List<String>,
-        done: (Boolean) -> Unit,
-    ) = call(
+    override fun giveBack(hosts: List<String>, done: (Boolean) -> Unit) = call(
         cloudCalls,
         { (cloud("POST", "/machines/return", mapOf("hosts" to hosts)) as? Reply.Answer)?.status == 200 },
         false,
@@ -125,19 +106,14 @@
         }
     }
 
-    override fun flavors(done: (List<Flavor>?) -> Unit) =
-        call(
-            cloudCalls,
-            { (cloud("GET", "/flavors") as? Reply.Answer)?.takeIf { it.status == 200 }?.let { reading { Flavor.parseAll(it.body) } } },
-            null,
-            done,
-        )
-
-    override fun extendLease(
-        lease: Long?,
-        lifeMs: Long,
-        done: (LeaseState) -> Unit,
-    ) = call(
+    override fun flavors(done: (List<Flavor>?) -> Unit) = call(
+        cloudCalls,
+        { (cloud("GET", "/flavors") as? Reply.Answer)?.takeIf { it.status == 200 }?.let { reading { Flavor.parseAll(it.body) } } },
+        null,
+        done,
+    )
+
+    override fun extendLease(lease: Long?, lifeMs: Long, done: (LeaseState) -> Unit) = call(
         leases,
         {
             if (lease == null) {
@@ -154,41 +130,34 @@
         done,
     )
 
-    override fun shareLimits(
-        aliveNodes: Int,
-        leading: Boolean,
-    ) {
+    override fun shareLimits(aliveNodes: Int, leading: Boolean) {
         client.shareAmong(aliveNodes)
         // The leader rents and lists; the others only return machines.
-        val part = if (aliveNodes == 1) 1.0 else if (leading) LEADERS_PART else (1.0 - LEADERS_PART) / (aliveNodes - 1)
+        val part = if (aliveNodes == 1) {
+            1.0
+        } else if (leading) {
+            LEADERS_PART
+        } else {
+            (1.0 - LEADERS_PART) / (aliveNodes - 1)
+        }
         cloudLimit.rate = settings.cloudLimits.requestsPerS * part * SAFETY
     }
 
-    private fun cloud(
-        method: String,
-        path: String,
-        body: Map<String, Any?>? = null,
-    ): Reply {
+    private fun cloud(method: String, path: String, body: Map<String, Any?>? = null): Reply {
         if (!cloudLimit.tryAcquire(CLOUD_PATIENCE_S, TimeUnit.SECONDS)) return Reply.NotSent("over this node's part of the limit")
         val reply = cloudCaller.call(method, settings.cloud, path, body)
         if (reply !is Reply.Answer || reply.status != 200) log.info("{} {}: {}", method, path, reply)
         return reply
     }
 
-    private inline fun <T> reading(read: () -> T): T? =
-        try {
-            read()
-        } catch (e: MalformedException) {
-            log.error("the cloud answers nonsense: {}", e.message)
-            null
-        }
+    private inline fun <T> reading(read: () -> T): T? = try {
+        read()
+    } catch (e: MalformedException) {
+        log.error("the cloud answers nonsense: {}", e.message)
+        null
+    }
 
-    private fun <T> call(
-        pool: ThreadPoolExecutor,
-        ask: () -> T,
-        refused: T,
-        done: (T) -> Unit,
-    ) {
+    private fun <T> call(pool: ThreadPoolExecutor, ask: () -> T, refused: T, done: (T) -> Unit) {
         try {
             pool.execute {
                 val result = ask()
@@ -207,6 +176,7 @@
         private const val DIRECT_THREADS = 10
         private const val DIRECTS_QUEUED = 100
         private const val CLOUD_QUEUED = 40
+        private const val PEER_CALLS_QUEUED = 40
         private const val WORKER_CONNECT_MS = 800
         private const val WORKER_READ_MS = 2500
         private const val CLOUD_CONNECT_MS = 2000
@@ -216,23 +186,15 @@
         private const val LEADERS_PART = 0.6
         private const val SAFETY = 0.95
 
-        fun pool(
-            name: String,
-            threads: Int,
-            queued: Int,
-        ): ThreadPoolExecutor =
-            ThreadPoolExecutor(
-                threads,
-                threads,
-                30,
-                TimeUnit.SECONDS,
-                ArrayBlockingQueue(queued),
-                ThreadFactoryBuilder().setNameFormat("$name-%d").setDaemon(true).build(),
-            ).apply { allowCoreThreadTimeOut(true) }
-
-        fun startThread(
-            name: String,
-            body: () -> Unit,
-        ): Thread = Thread(body, name).apply { isDaemon = true }.also { it.start() }
+        fun pool(name: String, threads: Int, queued: Int): ThreadPoolExecutor = ThreadPoolExecutor(
+            threads,
+            threads,
+            30,
+            TimeUnit.SECONDS,
+            ArrayBlockingQueue(queued),
+            ThreadFactoryBuilder().setNameFormat("$name-%d").setDaemon(true).build(),
+        ).apply { allowCoreThreadTimeOut(true) }
+
+        fun startThread(name: String, body: () -> Unit): Thread = Thread(body, name).apply { isDaemon = true }.also { it.start() }
     }
 }
--- a/src/main/kotlin/io/reedmast/app/Watches.kt
+++ b/src/main/kotlin/io/reedmast/app/Watches.kt
@@ -7,11 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom
 
 /** The two watches on the state service: on the cluster's few keys, and on the records under job ids. */
-class Watches(
-    private val client: StateClient,
-    private val clock: Clock,
-    private val node: Node,
-) {
+class Watches(private val client: StateClient, private val clock: Clock, private val node: Node) {
     private val firstEpoch = CompletableFuture<Long>()
 
     fun start() {
--- a/src/main/kotlin/io/reedmast/fairshare/Usage.kt
+++ b/src/main/kotlin/io/reedmast/fairshare/Usage.kt
@@ -12,25 +12,16 @@
  * A task is charged, for each second, its largest share of its machine. Best-effort work has no protected minimum and is
  * not charged.
  */
-class Usage(
-    private val windowMs: Long,
-) {
+class Usage(private val windowMs: Long) {
     private val bucketMs = maxOf(1L, windowMs / BUCKETS)
     private val charged = HashMap<TeamIndex, TreeMap<Long, Double>>()
 
-    fun charge(
-        team: TeamIndex,
-        machineSeconds: Double,
-        nowMs: Long,
-    ) {
+    fun charge(team: TeamIndex, machineSeconds: Double, nowMs: Long) {
         charged.getOrPut(team) { TreeMap() }.merge(nowMs / bucketMs, machineSeconds, Double::plus)
     }
 
     /** Machine seconds charged to [team] within the window; the oldest bucket counts by the part still inside. */
-    fun within(
-        team: TeamIndex,
-        nowMs: Long,
-    ): Double {
+    fun within(team: TeamIndex, nowMs: Long): Double {
         val buckets = charged[team] ?: return 0.0
         val edge = nowMs - windowMs
         buckets.headMap(Math.floorDiv(edge, bucketMs)).clear()
@@ -42,10 +33,9 @@
         return sum
     }
 
-    fun toFields(teams: Collection<TeamIndex>): Fields =
-        teams.filter { it in charged }.associate { team ->
-            team.value.toString() to charged.getValue(team).flatMap { listOf(it.key, it.value) }
-        }
+    fun toFields(teams: Collection<TeamIndex>): Fields = teams.filter { it in charged }.associate { team ->
+        team.value.toString() to charged.getValue(team).flatMap { listOf(it.key, it.value) }
+    }
 
     /** Takes up stored totals in place of what is known of their teams. */
     fun load(fields: Fields) {
@@ -82,11 +72,7 @@
 )
 
 /** What [mayYield] needs to know of a waiting request. */
-data class Request(
-    val rank: Rank,
-    val withinGuarantee: Boolean,
-    val teamRatio: Double,
-)
+data class Request(val rank: Rank, val withinGuarantee: Boolean, val teamRatio: Double)
 
 /**
  * Whether [runner] may be stopped to make room for [request], where both the design and the protocol permit it.
@@ -95,10 +81,7 @@
  * its share. The protocol asks that the request have a higher rank, or that it be within its team's guarantee and the
  * runner beyond its own.
  */
-fun mayYield(
-    runner: Runner,
-    request: Request,
-): Boolean {
+fun mayYield(runner: Runner, request: Request): Boolean {
     if (!request.rank.funded) return false
     val protocol = request.rank < runner.rank || (!runner.sameTeam && request.withinGuarantee && runner.teamBeyondGuarantee)
     if (!protocol) return false
--- a/src/main/kotlin/io/reedmast/fleet/Demand.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Demand.kt
@@ -4,8 +4,8 @@
 import io.reedmast.wire.amount
 import io.reedmast.wire.count
 import io.reedmast.wire.flag
-import io.reedmast.wire.optionalTexts
 import io.reedmast.wire.optionalText
+import io.reedmast.wire.optionalTexts
 
 /** Tasks of one shape for which a slice has no room, neither now nor on machines that are on their way. */
 data class Demand(
@@ -17,36 +17,28 @@
     val yard: String?,
     val count: Int,
 ) {
-    fun toFields(): Fields =
-        mapOf(
-            "cpus" to cpus,
-            "gpus" to gpus,
-            "memGb" to memGb,
-            "spot" to driftwood,
-            "builds" to builds,
-            "yard" to yard,
-            "count" to count,
-        )
+    fun toFields(): Fields = mapOf(
+        "cpus" to cpus,
+        "gpus" to gpus,
+        "memGb" to memGb,
+        "spot" to driftwood,
+        "builds" to builds,
+        "yard" to yard,
+        "count" to count,
+    )
 
     companion object {
-        fun parse(fields: Fields) =
-            Demand(
-                fields.amount("cpus"),
-                fields.amount("gpus"),
-                fields.amount("memGb"),
-                fields.flag("spot"),
-                fields.optionalTexts("builds"),
-                fields.optionalText("yard"),
-                fields.count("count").toInt(),
-            )
+        fun parse(fields: Fields) = Demand(
+            fields.amount("cpus"),
+            fields.amount("gpus"),
+            fields.amount("memGb"),
+            fields.flag("spot"),
+            fields.optionalTexts("builds"),
+            fields.optionalText("yard"),
+            fields.count("count").toInt(),
+        )
     }
 }
 
 /** A request to the cloud. The charter's name is never used for another request, by any node. */
-data class Rental(
-    val charter: String,
-    val build: String,
-    val yard: String,
-    val driftwood: Boolean,
-    val count: Int,
-)
+data class Rental(val charter: String, val build: String, val yard: String, val driftwood: Boolean, val count: Int)
--- a/src/main/kotlin/io/reedmast/fleet/Leader.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Leader.kt
@@ -21,19 +21,10 @@
 import org.slf4j.LoggerFactory
 
 /** What an owner last wrote of its slice. */
-private class Totals(
-    val slice: SliceIndex,
-    val term: Long,
-    val ratio: Double,
-    val demand: List<Demand>,
-    val idle: List<String>,
-)
+private class Totals(val slice: SliceIndex, val term: Long, val ratio: Double, val demand: List<Demand>, val idle: List<String>)
 
 /** The slice that a machine is meant for, and the highest token that its worker has seen. */
-private data class Destination(
-    val slice: SliceIndex,
-    val seen: Long,
-)
+private data class Destination(val slice: SliceIndex, val seen: Long)
 
 /** The leader's duties: renting for what slices ask, giving machines to slices, resizing slices, finding strays. */
 class Leader(
@@ -101,23 +92,22 @@
         }
     }
 
-    private fun parse(item: Item): Totals? =
-        try {
-            val value = item.value
-            Totals(
-                SliceIndex(item.path.removePrefix(Keys.TOTALS).toInt()),
-                value.count("term"),
-                value.amount("ratio"),
-                value.maps("demand").map { Demand.parse(it) },
-                value.list("idle").filterIsInstance<String>(),
-            )
-        } catch (e: MalformedException) {
-            log.error("{} cannot be read: {}", item.path, e.message)
-            null
-        } catch (e: NumberFormatException) {
-            log.error("{} belongs to no slice", item.path)
-            null
-        }
+    private fun parse(item: Item): Totals? = try {
+        val value = item.value
+        Totals(
+            SliceIndex(item.path.removePrefix(Keys.TOTALS).toInt()),
+            value.count("term"),
+            value.amount("ratio"),
+            value.maps("demand").map { Demand.parse(it) },
+            value.list("idle").filterIsInstance<String>(),
+        )
+    } catch (e: MalformedException) {
+        log.error("{} cannot be read: {}", item.path, e.message)
+        null
+    } catch (e: NumberFormatException) {
+        log.error("{} belongs to no slice", item.path)
+        null
+    }
 
     /** Slices further below their share come first, for idle machines of other slices and for rented ones. */
     private fun serve(totals: List<Totals>) {
@@ -133,10 +123,7 @@
     }
 
     /** Idle and booting machines of slices that want nothing go to slices that do, until their demand is met. */
-    private fun resize(
-        wanting: List<Totals>,
-        totals: List<Totals>,
-    ) {
+    private fun resize(wanting: List<Totals>, totals: List<Totals>) {
         val givers = totals.filter { it.demand.isEmpty() && it.idle.isNotEmpty() }
         for (needy in wanting) {
             val left = needy.demand.associateWithTo(LinkedHashMap()) { it.count }
@@ -160,19 +147,13 @@
         }
     }
 
-    private fun suits(
-        demand: Demand,
-        host: HostRecord,
-    ): Boolean {
+    private fun suits(demand: Demand, host: HostRecord): Boolean {
         val flavor = flavors()[host.build] ?: return false
         return (!host.driftwood || demand.driftwood) && (demand.builds == null || host.build in demand.builds) &&
             (demand.yard == null || demand.yard == host.yard) && flavor.holds(demand.cpus, demand.gpus, demand.memGb) >= 1
     }
 
-    private fun rentFor(
-        needy: Totals,
-        now: Long,
-    ) {
+    private fun rentFor(needy: Totals, now: Long) {
         val demand = needy.demand.first()
         val (offer, count) =
             shop(demand, flavors().values, { (soldOutUntil[it] ?: 0L) > now }, { yard ->
@@ -182,17 +163,21 @@
         send(needy.slice, Rental("$charterPrefix-${++charters}", offer.build, offer.yard, offer.driftwood, minOf(count, MOST_AT_ONCE)), RENT_TRIES)
     }
 
-    private fun send(
-        slice: SliceIndex,
-        rental: Rental,
-        tries: Int,
-    ) {
+    private fun send(slice: SliceIndex, rental: Rental, tries: Int) {
         out.rent(rental) { rented ->
             val now = clock.now()
             val offer = Offer(rental.build, rental.yard, rental.driftwood)
             when (rented) {
                 is Rented.Hosts -> {
-                    log.info("rented {} of {} {} in {}{} for slice {}", rented.names.size, rental.count, rental.build, rental.yard, if (rental.driftwood) ", spot" else "", slice.value)
+                    log.info(
+                        "rented {} of {} {} in {}{} for slice {}",
+                        rented.names.size,
+                        rental.count,
+                        rental.build,
+                        rental.yard,
+                        if (rental.driftwood) ", spot" else "",
+                        slice.value,
+                    )
                     if (rented.names.size < rental.count) soldOutUntil[offer] = now + SOLD_OUT_MS
                     rented.names.forEach { unassigned[HostRecord(it, rental.build, rental.yard, rental.driftwood)] = Destination(slice, 0L) }
                     renting.remove(slice)
@@ -241,14 +226,13 @@
     }
 
     /** The slice with the fewest CPUs, so that machines found at the start are spread evenly. */
-    private fun emptiest(): SliceIndex =
-        cluster.records.indices
-            .filter { cluster.records[it] != null }
-            .minByOrNull { index ->
-                val coming = unassigned.filterValues { it.slice.value == index }.keys
-                (cluster.records[index]?.record?.hosts.orEmpty() + coming).sumOf { flavors()[it.build]?.cpus ?: 1.0 }
-            }
-            .let { SliceIndex(it ?: 0) }
+    private fun emptiest(): SliceIndex = cluster.records.indices
+        .filter { cluster.records[it] != null }
+        .minByOrNull { index ->
+            val coming = unassigned.filterValues { it.slice.value == index }.keys
+            (cluster.records[index]?.record?.hosts.orEmpty() + coming).sumOf { flavors()[it.build]?.cpus ?: 1.0 }
+        }
+        .let { SliceIndex(it ?: 0) }
 
     /** Machines that nobody expected use themselves by reporting; those that only cost are returned. */
     private fun seeList(hosts: List<ListedHost>) {
--- a/src/main/kotlin/io/reedmast/fleet/Shop.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Offer.kt
@@ -4,23 +4,14 @@
 import kotlin.math.ceil
 
 /** A kind of machine that the cloud rents: type, zone, and spot or ordinary. */
-data class Offer(
-    val build: String,
-    val yard: String,
-    val driftwood: Boolean,
-)
+data class Offer(val build: String, val yard: String, val driftwood: Boolean)
 
 /**
  * What to rent for [demand], cheapest first: the kind of machine that covers the whole need at the least cost per hour.
  *
  * A pure function: [soldOut] says which offers were refused lately, [held] how many machines of ours a zone has.
  */
-fun shop(
-    demand: Demand,
-    flavors: Collection<Flavor>,
-    soldOut: (Offer) -> Boolean,
-    held: (String) -> Int,
-): Pair<Offer, Int>? {
+fun shop(demand: Demand, flavors: Collection<Flavor>, soldOut: (Offer) -> Boolean, held: (String) -> Int): Pair<Offer, Int>? {
     var best: Pair<Offer, Int>? = null
     var bestCost = Double.MAX_VALUE
     for (flavor in flavors) {
--- a/src/main/kotlin/io/reedmast/jobs/Job.kt
+++ b/src/main/kotlin/io/reedmast/jobs/Job.kt
@@ -13,9 +13,7 @@
 import java.util.TreeMap
 
 /** How a job ended. */
-enum class FinalStage(
-    val wire: String,
-) {
+enum class FinalStage(val wire: String) {
     DONE("done"),
     ABORTED("aborted"),
 }
@@ -29,25 +27,23 @@
     val spec: Fields?,
     val acceptedAtMs: Long,
 ) {
-    fun toFields(): Fields =
-        if (final == null) {
-            mapOf("slice" to slice, "pieces" to pieces, "at" to acceptedAtMs, "spec" to spec)
-        } else {
-            mapOf("slice" to slice, "pieces" to pieces, "at" to acceptedAtMs, "stage" to final.wire)
-        }
+    fun toFields(): Fields = if (final == null) {
+        mapOf("slice" to slice, "pieces" to pieces, "at" to acceptedAtMs, "spec" to spec)
+    } else {
+        mapOf("slice" to slice, "pieces" to pieces, "at" to acceptedAtMs, "stage" to final.wire)
+    }
 
     fun ended(stage: FinalStage) = RefRecord(slice, pieces, stage, null, acceptedAtMs)
 
     companion object {
         @Suppress("UNCHECKED_CAST")
-        fun parse(fields: Fields): RefRecord =
-            RefRecord(
-                fields.count("slice").toInt(),
-                fields.count("pieces").toInt(),
-                fields["stage"]?.let { stage -> FinalStage.entries.firstOrNull { it.wire == stage } ?: throw MalformedException("stage is unknown") },
-                fields["spec"] as? Fields,
-                fields.count("at"),
-            )
+        fun parse(fields: Fields): RefRecord = RefRecord(
+            fields.count("slice").toInt(),
+            fields.count("pieces").toInt(),
+            fields["stage"]?.let { stage -> FinalStage.entries.firstOrNull { it.wire == stage } ?: throw MalformedException("stage is unknown") },
+            fields["spec"] as? Fields,
+            fields.count("at"),
+        )
     }
 }
 
@@ -63,13 +59,7 @@
  *
  * Quota, zone rules and free room count every placement, whatever is known of it.
  */
-class Placement(
-    val job: Job,
-    val task: Int,
-    val attempt: Long,
-    val machine: Machine,
-    val madeAt: Long,
-) {
+class Placement(val job: Job, val task: Int, val attempt: Long, val machine: Machine, val madeAt: Long) {
     val id = TaskId(job.spec.ref, task)
 
     /** Whether the state service holds it: nothing is launched before. */
@@ -89,11 +79,7 @@
 }
 
 /** Tasks `first` to `first + size - 1` of a job, the unit in which progress is stored. */
-class Chunk(
-    val index: Int,
-    val first: Int,
-    val size: Int,
-) {
+class Chunk(val index: Int, val first: Int, val size: Int) {
     val done = BitSet(size)
     val placements = TreeMap<Int, Placement>()
 
@@ -116,10 +102,7 @@
     }
 
     /** Reads the stored form; [place] makes a placement of a task, an attempt and a host name. */
-    fun load(
-        fields: Fields,
-        place: (Int, Long, String) -> Placement,
-    ) {
+    fun load(fields: Fields, place: (Int, Long, String) -> Placement) {
         val ranges = fields.list("done").map { (it as? Long)?.toInt() ?: throw MalformedException("done holds no integer") }
         for (i in ranges.indices step 2) done.set(ranges[i], ranges[i + 1])
         for (entry in fields.list("on")) {
@@ -181,10 +164,7 @@
     }
 
     /** Ends a placement. The evidence for that is the caller's business. */
-    fun remove(
-        placement: Placement,
-        done: Boolean,
-    ) {
+    fun remove(placement: Placement, done: Boolean) {
         val chunk = chunkOf(placement.task)
         if (chunk.placements.remove(placement.task, placement)) {
             placedCount--
@@ -200,12 +180,7 @@
     }
 
     /** Takes up the state read from the state service. */
-    fun load(
-        chunkIndex: Int,
-        stamp: Long,
-        fields: Fields,
-        place: (Int, Long, String) -> Placement,
-    ) {
+    fun load(chunkIndex: Int, stamp: Long, fields: Fields, place: (Int, Long, String) -> Placement) {
         if (chunkIndex !in chunks.indices) throw MalformedException("chunk $chunkIndex is out of range")
         val chunk = chunkOf(chunkIndex * chunkSize)
         chunk.load(fields, place)
@@ -232,11 +207,7 @@
 
         fun chunkSizeFor(valueBytes: Int): Int = maxOf(1, valueBytes / BYTES_PER_TASK)
 
-        fun header(
-            spec: JobSpec,
-            chunkSize: Int,
-            acceptedAtMs: Long,
-        ): Fields = mapOf("spec" to spec.toFields(), "chunk" to chunkSize, "at" to acceptedAtMs)
+        fun header(spec: JobSpec, chunkSize: Int, acceptedAtMs: Long): Fields = mapOf("spec" to spec.toFields(), "chunk" to chunkSize, "at" to acceptedAtMs)
 
         fun parseSpec(fields: Fields): JobSpec = JobSpec.parse(fields)
 
--- a/src/main/kotlin/io/reedmast/jobs/JobDoor.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobDoor.kt
@@ -4,6 +4,7 @@
 import io.reedmast.app.Clock
 import io.reedmast.app.Outward
 import io.reedmast.ownership.Cluster
+import io.reedmast.peers.Progress
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
 import io.reedmast.state.Change
@@ -16,15 +17,10 @@
 import io.reedmast.wire.Flavor
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.MalformedException
-import io.reedmast.wire.list
 import org.slf4j.LoggerFactory
 
 /** The answer to a user. */
-data class UserAnswer(
-    val status: Int,
-    val body: Fields,
-    val retryAfterS: Int? = null,
-)
+data class UserAnswer(val status: Int, val body: Fields, val retryAfterS: Int? = null)
 
 /**
  * Submissions, polls and cancellations, on any node.
@@ -42,10 +38,7 @@
     private val log = LoggerFactory.getLogger("jobs")
     private val finals = Caffeine.newBuilder().maximumSize(FINALS_KEPT).executor(Runnable::run).build<String, RefRecord>()
 
-    fun submit(
-        spec: JobSpec,
-        answer: (UserAnswer) -> Unit,
-    ) {
+    fun submit(spec: JobSpec, answer: (UserAnswer) -> Unit) {
         finals.getIfPresent(spec.ref)?.let {
             answer(known(spec.ref, it))
             return
@@ -93,37 +86,26 @@
         if (!out.commit(change, refusable = true)) answer(UserAnswer(429, mapOf("error" to "overloaded"), RETRY_AFTER_S))
     }
 
-    private fun refusal(
-        spec: JobSpec,
-        maxCpus: Double,
-        maxGpus: Double,
-    ): String? {
+    private fun refusal(spec: JobSpec, maxCpus: Double, maxGpus: Double): String? {
         val times = if (spec.service) spec.pieces.toDouble() else 1.0
         val above = (maxCpus > 0 && spec.cpus * times > maxCpus + SLACK) || (maxGpus > 0 && spec.gpus * times > maxGpus + SLACK)
         return if (above) "more than the team's limit" else null
     }
 
-    private fun fitsNowhere(spec: JobSpec): Boolean =
-        (spec.yard != null && spec.yard !in settings.zones && flavors().values.none { spec.yard in it.yards }) ||
-            flavors().values.none { flavor ->
-                (spec.builds == null || flavor.label in spec.builds) && flavor.holds(spec.cpus, spec.gpus, spec.memGb) >= 1 &&
-                    (spec.yard == null || flavor.yards.isEmpty() || spec.yard in flavor.yards)
-            }
+    private fun fitsNowhere(spec: JobSpec): Boolean = (spec.yard != null && spec.yard !in settings.zones && flavors().values.none { spec.yard in it.yards }) ||
+        flavors().values.none { flavor ->
+            (spec.builds == null || flavor.label in spec.builds) && flavor.holds(spec.cpus, spec.gpus, spec.memGb) >= 1 &&
+                (spec.yard == null || flavor.yards.isEmpty() || spec.yard in flavor.yards)
+        }
 
     private fun later() = UserAnswer(503, mapOf("error" to "cannot decide yet"), RETRY_AFTER_S)
 
-    private fun known(
-        ref: String,
-        record: RefRecord,
-    ): UserAnswer {
+    private fun known(ref: String, record: RefRecord): UserAnswer {
         val done = if (record.final == FinalStage.DONE) record.pieces else 0
         return UserAnswer(200, mapOf("ref" to ref, "stage" to record.final?.wire, "done" to done, "running" to 0))
     }
 
-    fun poll(
-        ref: String,
-        answer: (UserAnswer) -> Unit,
-    ) {
+    fun poll(ref: String, answer: (UserAnswer) -> Unit) {
         if (!JobSpec.isRef(ref)) {
             answer(UNKNOWN)
             return
@@ -142,45 +124,25 @@
         }
     }
 
-    private fun progress(
-        ref: String,
-        record: RefRecord,
-        answer: (UserAnswer) -> Unit,
-    ) {
-        val own = cluster.owners.getOrNull(record.slice)?.takeIf { it.active && !it.dropped }?.progress(ref)
-        if (own != null) {
-            answer(stage(ref, own["done"] as? Int ?: 0, own["running"] as? Int ?: 0))
-            return
-        }
-        // Another node has the job: its stored chunks tell, but for what the tasks placed have started since.
-        out.list(Keys.live(record.slice, ref) + "/") { items ->
-            var done = 0
-            var placed = 0
-            try {
-                for (item in items.orEmpty()) {
-                    if (item.path.endsWith("/x")) continue
-                    val ranges = item.value.list("done").map { (it as? Long)?.toInt() ?: 0 }
-                    for (i in ranges.indices step 2) done += ranges[i + 1] - ranges[i]
-                    placed += item.value.list("on").size
-                }
-            } catch (e: MalformedException) {
-                log.error("{}: its stored progress cannot be read: {}", ref, e.message)
-            }
-            answer(stage(ref, done, placed))
+    private fun progress(ref: String, record: RefRecord, answer: (UserAnswer) -> Unit) {
+        val owner = cluster.ownerOf(SliceIndex(record.slice))
+        if (owner == null || owner == settings.label) {
+            answer(stage(ref, cluster.owners.getOrNull(record.slice)?.takeIf { !it.dropped }?.progress(ref)))
+        } else {
+            out.progress(owner, ref) { answer(stage(ref, it)) }
         }
     }
 
-    private fun stage(
-        ref: String,
-        done: Int,
-        running: Int,
-    ) = UserAnswer(200, mapOf("ref" to ref, "stage" to if (running > 0) "running" else "queued", "done" to done, "running" to running))
+    /** Counts are for display: a job whose owner does not answer is shown as queued, which is never too new. */
+    private fun stage(ref: String, progress: Progress?): UserAnswer {
+        val running = progress?.running ?: 0
+        return UserAnswer(
+            200,
+            mapOf("ref" to ref, "stage" to if (running > 0) "running" else "queued", "done" to (progress?.done ?: 0), "running" to running),
+        )
+    }
 
-    fun abort(
-        ref: String,
-        answer: (UserAnswer) -> Unit,
-        tries: Int = ABORT_TRIES,
-    ) {
+    fun abort(ref: String, answer: (UserAnswer) -> Unit, tries: Int = ABORT_TRIES) {
         if (!JobSpec.isRef(ref)) {
             answer(UNKNOWN)
             return
@@ -217,16 +179,9 @@
         }
     }
 
-    private fun ended(
-        ref: String,
-        stage: FinalStage,
-    ) = UserAnswer(200, mapOf("ref" to ref, "stage" to stage.wire))
+    private fun ended(ref: String, stage: FinalStage) = UserAnswer(200, mapOf("ref" to ref, "stage" to stage.wire))
 
-    private fun read(
-        ref: String,
-        answer: (UserAnswer) -> Unit,
-        use: (RefRecord, Long) -> Unit,
-    ) {
+    private fun read(ref: String, answer: (UserAnswer) -> Unit, use: (RefRecord, Long) -> Unit) {
         out.get(Keys.ref(ref)) { fetched ->
             when (fetched) {
                 is Fetched.Failed -> {
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -9,6 +9,7 @@
 import io.reedmast.fairshare.mayYield
 import io.reedmast.fleet.Demand
 import io.reedmast.ownership.SliceRecord
+import io.reedmast.peers.Progress
 import io.reedmast.placement.allows
 import io.reedmast.placement.choose
 import io.reedmast.placement.zonesAllow
@@ -24,7 +25,6 @@
 import io.reedmast.state.Outcome
 import io.reedmast.state.Write
 import io.reedmast.wire.Cause
-import io.reedmast.wire.Fields
 import io.reedmast.wire.Flavor
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.MalformedException
@@ -52,16 +52,10 @@
     /** The term may have moved on: read the record again. */
     fun refresh(slice: SliceIndex)
 
-    fun removeHosts(
-        slice: SliceIndex,
-        hosts: Set<String>,
-    )
+    fun removeHosts(slice: SliceIndex, hosts: Set<String>)
 
     /** Gives an empty machine to the slice that it is marked to leave for. */
-    fun handOver(
-        slice: SliceIndex,
-        host: String,
-    )
+    fun handOver(slice: SliceIndex, host: String)
 }
 
 /**
@@ -119,12 +113,7 @@
     // ---- taking over ----------------------------------------------------------------------------------------------
 
     /** Reads what is stored of the slice; [items] were listed after this owner's token was stored. */
-    fun load(
-        record: SliceRecord,
-        term: Long,
-        items: List<Item>,
-        totals: Item?,
-    ) {
+    fun load(record: SliceRecord, term: Long, items: List<Item>, totals: Item?) {
         this.term = term
         sync(record, term)
         totals?.let {
@@ -188,15 +177,11 @@
     }
 
     /** A machine that a stored placement names but the slice does not have any more: kept until it is returned. */
-    private fun machineFor(host: String): Machine =
-        machines.getOrPut(host) {
-            Machine(HostRecord(host, "", "", false), null, clock.now(), record.token).apply { retirement = Retirement.SILENT }
-        }
+    private fun machineFor(host: String): Machine = machines.getOrPut(host) {
+        Machine(HostRecord(host, "", "", false), null, clock.now(), record.token).apply { retirement = Retirement.SILENT }
+    }
 
-    private inline fun guarded(
-        what: String,
-        read: () -> Unit,
-    ) {
+    private inline fun guarded(what: String, read: () -> Unit) {
         try {
             read()
         } catch (e: MalformedException) {
@@ -205,10 +190,7 @@
     }
 
     /** Takes up the slice record as it now stands, machines added or marked as leaving included. */
-    fun sync(
-        newRecord: SliceRecord,
-        newTerm: Long,
-    ) {
+    fun sync(newRecord: SliceRecord, newTerm: Long) {
         if (newTerm < term) return
         record = newRecord
         term = newTerm
@@ -234,10 +216,7 @@
         placeWanted = true
     }
 
-    private fun adopt(
-        old: Placement,
-        machine: Machine,
-    ) {
+    private fun adopt(old: Placement, machine: Machine) {
         val placement = Placement(old.job, old.task, old.attempt, machine, old.madeAt).apply { committed = old.committed }
         old.job.chunkOf(old.task).placements[old.task] = placement
         machine.add(placement)
@@ -251,11 +230,7 @@
     // ---- jobs -----------------------------------------------------------------------------------------------------
 
     /** The record under a job's id has changed; null: it was deleted, which never happens to an accepted job. */
-    fun refChanged(
-        ref: String,
-        refRecord: RefRecord?,
-        stamp: Long,
-    ) {
+    fun refChanged(ref: String, refRecord: RefRecord?, stamp: Long) {
         if (!active) {
             early[ref] = refRecord to stamp
             return
@@ -291,10 +266,7 @@
         }
     }
 
-    private fun stop(
-        placement: Placement,
-        reason: StopReason,
-    ) {
+    private fun stop(placement: Placement, reason: StopReason) {
         if (placement.stopReason == StopReason.ABORTED || placement.stopReason == reason) return
         placement.stopReason = reason
         log.info("{} try {}: to be stopped on {}: {}", placement.id, placement.attempt, placement.machine.name, reason)
@@ -312,10 +284,7 @@
     }
 
     /** There is evidence that the attempt is over. */
-    private fun finish(
-        placement: Placement,
-        done: Boolean,
-    ) {
+    private fun finish(placement: Placement, done: Boolean) {
         val job = placement.job
         if (placement.stopReason == StopReason.PREEMPTED) job.preempting--
         job.remove(placement, done)
@@ -324,10 +293,7 @@
         placeWanted = true
     }
 
-    private fun count(
-        placement: Placement,
-        sign: Int,
-    ) {
+    private fun count(placement: Placement, sign: Int) {
         val job = placement.job
         usedCpus.merge(job.team, sign * job.spec.cpus, Double::plus)
         usedGpus.merge(job.team, sign * job.spec.gpus, Double::plus)
@@ -347,12 +313,7 @@
         return orders
     }
 
-    private fun take(
-        machine: Machine,
-        report: Report,
-        checkin: Boolean,
-        orders: MutableList<Order>,
-    ): Boolean {
+    private fun take(machine: Machine, report: Report, checkin: Boolean, orders: MutableList<Order>): Boolean {
         if (!machine.isNewer(report)) return false
         val now = clock.now()
         machine.lastHeardAt = now
@@ -396,13 +357,7 @@
         return true
     }
 
-    private fun takePiece(
-        machine: Machine,
-        placement: Placement,
-        piece: PieceReport,
-        now: Long,
-        orders: MutableList<Order>,
-    ) {
+    private fun takePiece(machine: Machine, placement: Placement, piece: PieceReport, now: Long, orders: MutableList<Order>) {
         placement.seen = true
         placement.launchTenure = machine.tenure
         when (piece.stage) {
@@ -425,12 +380,7 @@
         }
     }
 
-    private fun ended(
-        machine: Machine,
-        placement: Placement,
-        cause: Cause,
-        now: Long,
-    ) {
+    private fun ended(machine: Machine, placement: Placement, cause: Cause, now: Long) {
         val job = placement.job
         val done = cause == Cause.DONE && !job.spec.service
         if (cause != Cause.HALTED || placement.stopReason == null) {
@@ -472,11 +422,7 @@
     }
 
     /** A task on the machine that no placement accounts for. */
-    private fun takeStray(
-        machine: Machine,
-        piece: PieceReport,
-        orders: MutableList<Order>,
-    ) {
+    private fun takeStray(machine: Machine, piece: PieceReport, orders: MutableList<Order>) {
         val job = jobs[piece.id.ref]
         if (piece.stage == PieceStage.ENDED) {
             // Once forgotten, the attempt would start again if its launch came late; and its result must be stored first.
@@ -494,13 +440,7 @@
     }
 
     /** A stored placement that the newest report does not list. */
-    private fun takeMissing(
-        machine: Machine,
-        placement: Placement,
-        report: Report,
-        checkin: Boolean,
-        orders: MutableList<Order>,
-    ) {
+    private fun takeMissing(machine: Machine, placement: Placement, report: Report, checkin: Boolean, orders: MutableList<Order>) {
         val mayLaunch = machine.mayLaunch(placement.id, placement.attempt)
         val sentBefore = placement.launchTenure != 0L
         if (sentBefore && placement.launchTenure < report.tenure && !mayLaunch) {
@@ -525,11 +465,7 @@
         }
     }
 
-    private fun launch(
-        placement: Placement,
-        tally: Long,
-        orders: MutableList<Order>,
-    ) {
+    private fun launch(placement: Placement, tally: Long, orders: MutableList<Order>) {
         placement.launchTenure = placement.machine.tenure
         placement.answeredTally = tally
         orders.add(Order.Launch(placement.id, placement.attempt))
@@ -594,12 +530,7 @@
 
     private fun toGreet(machine: Machine) = !machine.trusted && machine.retirement == null && machine.placements.isNotEmpty()
 
-    private fun greet(
-        machine: Machine,
-        addr: String,
-        tenure: Long,
-        again: Boolean,
-    ) {
+    private fun greet(machine: Machine, addr: String, tenure: Long, again: Boolean) {
         out.direct(addr, record.token, tenure, emptyList()) { reply ->
             if (dropped || reply !is Reply.Answer || (reply.status != 200 && reply.status != 409)) return@direct
             guarded("answer of ${machine.name}") {
@@ -625,10 +556,7 @@
         sendDirect()
     }
 
-    private fun ratio(
-        team: TeamIndex,
-        nowMs: Long,
-    ): Double {
+    private fun ratio(team: TeamIndex, nowMs: Long): Double {
         val share = settings.teams[team.value]
         val allocated = if (share.cpus > 0) share.cpus else share.gpus
         // What runs now counts for the next minute too, so that a burst of decisions sees its own effect.
@@ -636,10 +564,7 @@
         return if (allocated <= 0.0) Double.MAX_VALUE else (usage.within(team, nowMs) + soon) / (allocated * tuning.windowS)
     }
 
-    private fun within(
-        team: TeamIndex,
-        spec: JobSpec,
-    ): Boolean {
+    private fun within(team: TeamIndex, spec: JobSpec): Boolean {
         val share = settings.teams[team.value]
         return (usedCpus[team] ?: 0.0) + spec.cpus <= share.cpus + Machine.EPSILON &&
             (spec.gpus == 0.0 || (usedGpus[team] ?: 0.0) + spec.gpus <= share.gpus + Machine.EPSILON)
@@ -691,10 +616,7 @@
     }
 
     /** True if a task was placed and the job may have another one to place. */
-    private fun placeOne(
-        job: Job,
-        now: Long,
-    ): Boolean {
+    private fun placeOne(job: Job, now: Long): Boolean {
         if (job.waitingCount <= 0 || allowance(job) < 1) return false
         val task = job.nextWaiting()
         if (task < 0) return false
@@ -708,10 +630,7 @@
     }
 
     /** Stops work for requests that cannot fit otherwise, one machine at a time and never twice for the same request. */
-    private fun preempt(
-        ready: List<Job>,
-        wall: Long,
-    ) {
+    private fun preempt(ready: List<Job>, wall: Long) {
         val coming = coming()
         for (job in ready) {
             if (!job.spec.rank.funded || job.waitingCount <= job.preempting || allowance(job) <= job.preempting) continue
@@ -736,10 +655,9 @@
     private fun Job.startsSoon() = spec.service || settings.objectives.any { it.kind == "wait" && it.lot == spec.lot }
 
     /** The room of machines that have not come up yet. */
-    private fun coming(): List<Room> =
-        machines.values
-            .filter { !it.trusted && it.retirement == null && it.flavor != null }
-            .map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
+    private fun coming(): List<Room> = machines.values
+        .filter { !it.trusted && it.retirement == null && it.flavor != null }
+        .map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
 
     private fun List<Room>.takeAll(job: Job): Boolean {
         repeat(minOf(job.waitingCount, allowance(job))) {
@@ -748,12 +666,7 @@
         return true
     }
 
-    private fun victims(
-        job: Job,
-        machine: Machine,
-        request: Request,
-        wall: Long,
-    ): List<Placement>? {
+    private fun victims(job: Job, machine: Machine, request: Request, wall: Long): List<Placement>? {
         var cpus = machine.freeCpus
         var gpus = machine.freeGpus
         var memGb = machine.freeMemGb
@@ -773,11 +686,7 @@
         return if (enough && chosen.isNotEmpty()) chosen else null
     }
 
-    private fun runner(
-        placement: Placement,
-        job: Job,
-        wall: Long,
-    ): Runner {
+    private fun runner(placement: Placement, job: Job, wall: Long): Runner {
         val spec = placement.job.spec
         val share = settings.teams[placement.job.team.value]
         return Runner(
@@ -810,10 +719,7 @@
         }
     }
 
-    private fun store(
-        job: Job,
-        chunk: Chunk,
-    ) {
+    private fun store(job: Job, chunk: Chunk) {
         val path = Keys.chunk(slice, job.spec.ref, chunk.index)
         val included = chunk.placements.values.toList()
         chunk.dirty = false
@@ -859,10 +765,7 @@
     }
 
     /** Something had moved on: the term (then the watch or a read tells), or the job was ended by its user. */
-    private fun conflict(
-        job: Job,
-        failed: Set<String>,
-    ) {
+    private fun conflict(job: Job, failed: Set<String>) {
         if (Keys.ref(job.spec.ref) in failed) {
             out.get(Keys.ref(job.spec.ref)) { fetched ->
                 if (dropped) return@get
@@ -957,10 +860,7 @@
     }
 
     /** The largest share of the machine, in that machine's CPUs, so that machines of different sizes add up. */
-    private fun charge(
-        spec: JobSpec,
-        flavor: Flavor,
-    ): Double {
+    private fun charge(spec: JobSpec, flavor: Flavor): Double {
         val share =
             maxOf(
                 if (flavor.cpus > 0) spec.cpus / flavor.cpus else 0.0,
@@ -1010,11 +910,7 @@
         machine.placements.values.toList().forEach { stop(it, StopReason.DRAINED) }
     }
 
-    private fun drain(
-        machine: Machine,
-        warningUntil: Long,
-        now: Long,
-    ) {
+    private fun drain(machine: Machine, warningUntil: Long, now: Long) {
         val left = (warningUntil - now) / 1000.0
         for (placement in machine.placements.values.toList()) {
             if (placement.stopReason != null) continue
@@ -1026,18 +922,12 @@
         }
     }
 
-    private fun idle(
-        machine: Machine,
-        now: Long,
-    ): Boolean =
+    private fun idle(machine: Machine, now: Long): Boolean =
         machine.placements.isEmpty() && machine.everHeard && now - machine.emptySince > tuning.idleS * 1000 &&
             now - activeAt > tuning.idleS * 1000 && !spareNeeded(machine, now)
 
     /** Whether the slice would have too little free room for the services that arrive while a machine boots. */
-    private fun spareNeeded(
-        machine: Machine,
-        now: Long,
-    ): Boolean {
+    private fun spareNeeded(machine: Machine, now: Long): Boolean {
         val wanted = headroom(now)
         if (wanted <= 0.0 || machine.record.driftwood) return false
         val others = machines.values.filter { it !== machine && it.usable && !it.record.driftwood }.sumOf { it.freeCpus }
@@ -1137,15 +1027,9 @@
         return maxOf(0.0, 1.0 - running * boot / work)
     }
 
-    private class Room(
-        val host: HostRecord,
-        var cpus: Double,
-        var gpus: Double,
-        var memGb: Double,
-    ) {
-        fun fits(spec: JobSpec) =
-            allows(spec, host.build, host.yard, host.driftwood) && spec.cpus <= cpus + Machine.EPSILON &&
-                spec.gpus <= gpus + Machine.EPSILON && spec.memGb <= memGb + Machine.EPSILON
+    private class Room(val host: HostRecord, var cpus: Double, var gpus: Double, var memGb: Double) {
+        fun fits(spec: JobSpec) = allows(spec, host.build, host.yard, host.driftwood) && spec.cpus <= cpus + Machine.EPSILON &&
+            spec.gpus <= gpus + Machine.EPSILON && spec.memGb <= memGb + Machine.EPSILON
 
         fun take(spec: JobSpec) {
             cpus -= spec.cpus
@@ -1186,16 +1070,13 @@
     }
 
     /** Empty for a while and not kept for services, or still booting while nothing waits. */
-    private fun canMove(
-        machine: Machine,
-        now: Long,
-    ): Boolean =
+    private fun canMove(machine: Machine, now: Long): Boolean =
         machine.placements.isEmpty() && machine.retirement == null && !machine.returning && machine.flavor != null &&
             (!machine.everHeard || (machine.trusted && now - machine.emptySince > IDLE_TO_MOVE_MS && !spareNeeded(machine, now)))
 
-    fun progress(ref: String): Fields? {
+    fun progress(ref: String): Progress? {
         val job = jobs[ref] ?: return null
-        return mapOf("done" to job.doneCount, "running" to job.placements().count { it.running })
+        return Progress(job.doneCount, job.placements().count { it.running })
     }
 
     private companion object {
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -26,10 +26,7 @@
 import org.slf4j.LoggerFactory
 
 /** A slice record as last seen, with its stamp. */
-data class Held(
-    val record: SliceRecord,
-    val stamp: Long,
-)
+data class Held(val record: SliceRecord, val stamp: Long)
 
 /**
  * Who owns what: this node's view of slices, nodes and leader, and the changes it makes to them.
@@ -102,10 +99,7 @@
 
     // ---- what the watches tell --------------------------------------------------------------------------------------
 
-    fun snapshot(
-        items: List<Item>,
-        askedAt: Long,
-    ) {
+    fun snapshot(items: List<Item>, askedAt: Long) {
         nodes.clear()
         leader = null
         items.forEach { see(it.path, it.value, it.stamp) }
@@ -120,18 +114,12 @@
         shareLimits()
     }
 
-    fun clusterEvents(
-        events: List<Event>,
-        askedAt: Long,
-    ) {
+    fun clusterEvents(events: List<Event>, askedAt: Long) {
         events.forEach { see(it.path, it.value, it.stamp) }
         clusterKnownAt = maxOf(clusterKnownAt, askedAt)
     }
 
-    fun refEvents(
-        events: List<Event>,
-        askedAt: Long,
-    ) {
+    fun refEvents(events: List<Event>, askedAt: Long) {
         for (event in events) {
             val value = event.value ?: continue
             guarded(event.path) { refChanged(event.path.removePrefix(Keys.REFS), RefRecord.parse(value), event.stamp) }
@@ -147,19 +135,11 @@
         owned().forEach { take(it.index) }
     }
 
-    fun refChanged(
-        ref: String,
-        record: RefRecord,
-        stamp: Long,
-    ) {
+    fun refChanged(ref: String, record: RefRecord, stamp: Long) {
         owners.getOrNull(record.slice)?.takeIf { !it.dropped }?.refChanged(ref, record, stamp)
     }
 
-    private fun see(
-        path: String,
-        value: Fields?,
-        stamp: Long,
-    ) {
+    private fun see(path: String, value: Fields?, stamp: Long) {
         guarded(path) {
             when {
                 path == Keys.TOKEN -> {
@@ -201,11 +181,7 @@
         }
     }
 
-    private fun seeSlice(
-        slice: SliceIndex,
-        record: SliceRecord,
-        stamp: Long,
-    ) {
+    private fun seeSlice(slice: SliceIndex, record: SliceRecord, stamp: Long) {
         val held = records[slice.value]
         if (held != null && held.stamp >= stamp) return
         records[slice.value] = Held(record, stamp)
@@ -232,10 +208,7 @@
 
     fun departedLately(host: String): Boolean = departed.containsKey(host)
 
-    private inline fun guarded(
-        what: String,
-        read: () -> Unit,
-    ) {
+    private inline fun guarded(what: String, read: () -> Unit) {
         try {
             read()
         } catch (e: MalformedException) {
@@ -326,10 +299,7 @@
         )
     }
 
-    private fun considerTaking(
-        slice: SliceIndex,
-        now: Long,
-    ) {
+    private fun considerTaking(slice: SliceIndex, now: Long) {
         if (taking[slice.value] || owners[slice.value] != null) return
         val home = slice.value == settings.self.value
         val owner = records[slice.value]?.record?.owner
@@ -378,11 +348,7 @@
         )
     }
 
-    private fun read(
-        owner: SliceOwner,
-        record: SliceRecord,
-        term: Long,
-    ) {
+    private fun read(owner: SliceOwner, record: SliceRecord, term: Long) {
         val slice = owner.index
         out.list(Keys.liveOf(slice.value)) { items ->
             out.get(Keys.totals(slice.value)) { totals ->
@@ -400,10 +366,7 @@
         }
     }
 
-    private fun seeToken(
-        value: Long,
-        stamp: Long,
-    ) {
+    private fun seeToken(value: Long, stamp: Long) {
         if (stamp > tokenStamp) {
             token = value
             tokenStamp = stamp
@@ -435,19 +398,13 @@
         out.get(Keys.TOKEN) { if (it is Fetched.Found) see(it.item.path, it.item.value, it.item.stamp) }
     }
 
-    override fun removeHosts(
-        slice: SliceIndex,
-        hosts: Set<String>,
-    ) {
+    override fun removeHosts(slice: SliceIndex, hosts: Set<String>) {
         val held = records[slice.value] ?: return
         val leaving = hosts.filter { name -> held.record.hosts.any { it.name == name } }
         if (leaving.isNotEmpty()) rewrite(slice, leaving.fold(held.record) { record, host -> record.without(host) }) {}
     }
 
-    override fun handOver(
-        slice: SliceIndex,
-        host: String,
-    ) {
+    override fun handOver(slice: SliceIndex, host: String) {
         val from = records[slice.value] ?: return
         val to = from.record.leaving[host]?.let { SliceIndex(it) } ?: return
         val target = records.getOrNull(to.value) ?: return
@@ -483,12 +440,7 @@
     }
 
     /** The leader gives machines to a slice; [seen] is the highest token that any of them has seen. */
-    fun addHosts(
-        slice: SliceIndex,
-        hosts: List<HostRecord>,
-        seen: Long,
-        done: (Boolean) -> Unit,
-    ) {
+    fun addHosts(slice: SliceIndex, hosts: List<HostRecord>, seen: Long, done: (Boolean) -> Unit) {
         val held = records[slice.value]
         if (held == null || writing[slice.value]) {
             done(false)
@@ -503,22 +455,12 @@
     }
 
     /** The leader marks machines that are to leave for another slice as soon as they are empty. */
-    fun markLeaving(
-        slice: SliceIndex,
-        hosts: Collection<String>,
-        to: SliceIndex,
-    ) {
+    fun markLeaving(slice: SliceIndex, hosts: Collection<String>, to: SliceIndex) {
         val held = records[slice.value] ?: return
         rewrite(slice, held.record.copy(leaving = held.record.leaving + hosts.associateWith { to.value })) {}
     }
 
-    private fun rewrite(
-        slice: SliceIndex,
-        record: SliceRecord,
-        moreGuard: Guard? = null,
-        moreWrite: Write? = null,
-        done: (Boolean) -> Unit,
-    ) {
+    private fun rewrite(slice: SliceIndex, record: SliceRecord, moreGuard: Guard? = null, moreWrite: Write? = null, done: (Boolean) -> Unit) {
         val held = records[slice.value]
         if (held == null || writing[slice.value]) {
             done(false)
--- a/src/main/kotlin/io/reedmast/ownership/SliceRecord.kt
+++ b/src/main/kotlin/io/reedmast/ownership/SliceRecord.kt
@@ -19,20 +19,18 @@
     /** Machines that are to move to another slice as soon as they are empty. */
     val leaving: Map<String, Int>,
 ) {
-    fun toFields(): Fields =
-        mapOf("owner" to owner, "token" to token, "hosts" to hosts.map { it.toFields() }, "leaving" to leaving)
+    fun toFields(): Fields = mapOf("owner" to owner, "token" to token, "hosts" to hosts.map { it.toFields() }, "leaving" to leaving)
 
     fun without(host: String) = copy(hosts = hosts.filter { it.name != host }, leaving = leaving - host)
 
     fun with(added: List<HostRecord>) = copy(hosts = hosts + added.filter { new -> hosts.none { it.name == new.name } })
 
     companion object {
-        fun parse(fields: Fields) =
-            SliceRecord(
-                fields.text("owner"),
-                fields.count("token"),
-                fields.maps("hosts").map { HostRecord.parse(it) },
-                fields.map("leaving").mapValues { (_, v) -> (v as? Long)?.toInt() ?: throw MalformedException("leaving names no slice") },
-            )
+        fun parse(fields: Fields) = SliceRecord(
+            fields.text("owner"),
+            fields.count("token"),
+            fields.maps("hosts").map { HostRecord.parse(it) },
+            fields.map("leaving").mapValues { (_, v) -> (v as? Long)?.toInt() ?: throw MalformedException("leaving names no slice") },
+        )
     }
 }
--- a/src/main/kotlin/io/reedmast/placement/Choice.kt
+++ b/src/main/kotlin/io/reedmast/placement/Choice.kt
@@ -5,12 +5,8 @@
 import io.reedmast.workers.Machine
 
 /** Whether a job may ever run on a machine of this kind, whatever else is on it. */
-fun allows(
-    spec: JobSpec,
-    build: String,
-    yard: String,
-    driftwood: Boolean,
-): Boolean = (!driftwood || spec.driftwood) && (spec.builds == null || build in spec.builds) && (spec.yard == null || yard == spec.yard)
+fun allows(spec: JobSpec, build: String, yard: String, driftwood: Boolean): Boolean =
+    (!driftwood || spec.driftwood) && (spec.builds == null || build in spec.builds) && (spec.yard == null || yard == spec.yard)
 
 /**
  * Whether one more task of [job] may start in [yard], given every other task of it that may be on a machine.
@@ -18,24 +14,22 @@
  * In-flight launches and attempts on silent machines count like running ones: `oneZone` and `apart` are broken by what is
  * there, not by what was heard.
  */
-fun zonesAllow(
-    job: Job,
-    yard: String,
-): Boolean {
+fun zonesAllow(job: Job, yard: String): Boolean {
     val spec = job.spec
     if (!spec.oneZone && !spec.apart) return true
     var here = 0
     for (other in job.placements()) {
-        if (other.machine.record.yard == yard) here++ else if (spec.oneZone) return false
+        if (other.machine.record.yard == yard) {
+            here++
+        } else if (spec.oneZone) {
+            return false
+        }
     }
     return !spec.apart || here + 1 <= (spec.pieces + 1) / 2
 }
 
 /** The machine on which a task of [job] should start now, or null. Lower scores are better. */
-fun choose(
-    job: Job,
-    machines: Collection<Machine>,
-): Machine? {
+fun choose(job: Job, machines: Collection<Machine>): Machine? {
     val spec = job.spec
     var best: Machine? = null
     var bestScore = Double.MAX_VALUE
@@ -54,10 +48,7 @@
 }
 
 /** Seconds until the task could run, and smaller reasons: spot machines for work that may use them, fuller ones first. */
-private fun score(
-    spec: JobSpec,
-    machine: Machine,
-): Double {
+private fun score(spec: JobSpec, machine: Machine): Double {
     val flavor = machine.flavor ?: return Double.MAX_VALUE
     val fetch = if (spec.bundle in machine.images) 0.0 else spec.sizeGb / flavor.pullGbPerS
     val ordinary = if (spec.driftwood && !machine.record.driftwood) ORDINARY_S else 0.0
--- a/src/main/kotlin/io/reedmast/settings/Settings.kt
+++ b/src/main/kotlin/io/reedmast/settings/Settings.kt
@@ -15,68 +15,33 @@
 import java.nio.file.Path
 
 /** The settings cannot be used; the message names the field. */
-class SettingsException(
-    message: String,
-) : Exception(message)
+class SettingsException(message: String) : Exception(message)
 
 /** Names of teams, zones, nodes and slices are dense indices from here on. */
 @JvmInline
-value class TeamIndex(
-    val value: Int,
-)
+value class TeamIndex(val value: Int)
 
 @JvmInline
-value class ZoneIndex(
-    val value: Int,
-)
+value class ZoneIndex(val value: Int)
 
 @JvmInline
-value class NodeIndex(
-    val value: Int,
-)
+value class NodeIndex(val value: Int)
 
 @JvmInline
-value class SliceIndex(
-    val value: Int,
-)
+value class SliceIndex(val value: Int)
 
 /** [maxCpus] and [maxGpus] are limits on what runs at any time; 0 means none. */
-data class TeamShare(
-    val name: String,
-    val cpus: Double,
-    val maxCpus: Double,
-    val gpus: Double,
-    val maxGpus: Double,
-)
-
-data class Member(
-    val label: String,
-    val address: InetSocketAddress,
-)
-
-data class WorkerRules(
-    val reportS: Double,
-    val leaseS: Double,
-    val cancelS: Double,
-)
-
-data class StateLimits(
-    val requestsPerS: Double,
-    val writesPerS: Double,
-    val valueBytes: Int,
-    val opsPerCommit: Int,
-)
-
-data class CloudLimits(
-    val requestsPerS: Double,
-    val listLagS: Double,
-)
-
-data class Objective(
-    val kind: String,
-    val lot: String?,
-    val withinS: Double?,
-)
+data class TeamShare(val name: String, val cpus: Double, val maxCpus: Double, val gpus: Double, val maxGpus: Double)
+
+data class Member(val label: String, val address: InetSocketAddress)
+
+data class WorkerRules(val reportS: Double, val leaseS: Double, val cancelS: Double)
+
+data class StateLimits(val requestsPerS: Double, val writesPerS: Double, val valueBytes: Int, val opsPerCommit: Int)
+
+data class CloudLimits(val requestsPerS: Double, val listLagS: Double)
+
+data class Objective(val kind: String, val lot: String?, val withinS: Double?)
 
 /** What the platform hands over. [members] has every node in name order, so all nodes agree on their indices. */
 data class Settings(
@@ -177,10 +142,7 @@
 
         private fun Fields.list(name: String): List<Any?> = this[name] as? List<*> ?: throw MalformedException("$name is missing or not a list")
 
-        private fun Fields.optionalAmountOr(
-            name: String,
-            other: Double,
-        ): Double = at("facts.resources.") { optionalAmount(name) ?: other }
+        private fun Fields.optionalAmountOr(name: String, other: Double): Double = at("facts.resources.") { optionalAmount(name) ?: other }
 
         private fun teams(facts: Fields): List<TeamShare> {
             val list = at("facts.") { facts.maps("teams") }
@@ -201,30 +163,23 @@
             return teams
         }
 
-        private fun objectives(facts: Fields): List<Objective> =
-            if (facts["objectives"] == null) {
-                emptyList()
-            } else {
-                at("facts.") { facts.maps("objectives") }.mapIndexed { i, it ->
-                    at("facts.objectives[$i].") {
-                        Objective(it.text("kind"), it["class"] as? String, it.optionalAmount("within_s"))
-                    }
+        private fun objectives(facts: Fields): List<Objective> = if (facts["objectives"] == null) {
+            emptyList()
+        } else {
+            at("facts.") { facts.maps("objectives") }.mapIndexed { i, it ->
+                at("facts.objectives[$i].") {
+                    Objective(it.text("kind"), it["class"] as? String, it.optionalAmount("within_s"))
                 }
             }
+        }
 
-        private fun positive(
-            fields: Fields,
-            name: String,
-        ): Double {
+        private fun positive(fields: Fields, name: String): Double {
             val value = fields.amount(name)
             if (value <= 0.0) throw MalformedException("$name must be above 0")
             return value
         }
 
-        private fun address(
-            name: String,
-            text: String,
-        ): InetSocketAddress {
+        private fun address(name: String, text: String): InetSocketAddress {
             val colon = text.lastIndexOf(':')
             val port = if (colon > 0) text.substring(colon + 1).toIntOrNull() else null
             val host = if (colon > 0) text.substring(0, colon) else ""
@@ -239,14 +194,10 @@
             }
         }
 
-        private inline fun <T> at(
-            prefix: String,
-            read: () -> T,
-        ): T =
-            try {
-                read()
-            } catch (e: MalformedException) {
-                throw SettingsException(prefix + e.message)
-            }
+        private inline fun <T> at(prefix: String, read: () -> T): T = try {
+            read()
+        } catch (e: MalformedException) {
+            throw SettingsException(prefix + e.message)
+        }
     }
 }
--- a/src/main/kotlin/io/reedmast/state/Change.kt
+++ b/src/main/kotlin/io/reedmast/state/Change.kt
@@ -4,40 +4,25 @@
 import java.math.BigInteger
 
 /** The condition that a key still has this stamp; 0: that it does not exist. */
-data class Guard(
-    val path: String,
-    val stamp: Long,
-)
+data class Guard(val path: String, val stamp: Long)
 
 sealed interface Write {
     val path: String
 
-    data class Put(
-        override val path: String,
-        val value: Fields,
-        val lease: Long? = null,
-    ) : Write
+    data class Put(override val path: String, val value: Fields, val lease: Long? = null) : Write
 
-    data class Delete(
-        override val path: String,
-    ) : Write
+    data class Delete(override val path: String) : Write
 }
 
 sealed interface Outcome {
     /** Applied; [epoch] is the new stamp of everything written. */
-    data class Applied(
-        val epoch: Long,
-    ) : Outcome
+    data class Applied(val epoch: Long) : Outcome
 
     /** Not applied and never will be: these keys had moved on. */
-    data class Conflict(
-        val failed: Set<String>,
-    ) : Outcome
+    data class Conflict(val failed: Set<String>) : Outcome
 
     /** The state service finds the change itself impossible. */
-    data class Refused(
-        val reason: String,
-    ) : Outcome
+    data class Refused(val reason: String) : Outcome
 }
 
 /**
@@ -46,27 +31,17 @@
  * Every key written must be guarded by its own stamp: a transaction that got no answer may be applied minutes later,
  * and it must then find that its keys have moved on.
  */
-class Change(
-    val guards: List<Guard>,
-    val writes: List<Write>,
-    val done: (Outcome) -> Unit,
-) {
+class Change(val guards: List<Guard>, val writes: List<Write>, val done: (Outcome) -> Unit) {
     init {
         val guarded = guards.mapTo(HashSet()) { it.path }
         require(writes.all { it.path in guarded }) { "a key is written without its own guard" }
     }
 }
 
-data class Item(
-    val path: String,
-    val value: Fields,
-    val stamp: Long,
-)
+data class Item(val path: String, val value: Fields, val stamp: Long)
 
 sealed interface Fetched {
-    data class Found(
-        val item: Item,
-    ) : Fetched
+    data class Found(val item: Item) : Fetched
 
     data object Missing : Fetched
 
@@ -75,27 +50,23 @@
 }
 
 /** Whether two values are the same whatever integer type they were read into. */
-fun sameValue(
-    a: Any?,
-    b: Any?,
-): Boolean =
-    when {
-        a is Map<*, *> && b is Map<*, *> -> {
-            a.filterValues { it != null }.let { left ->
-                val right = b.filterValues { it != null }
-                left.keys == right.keys && left.all { (key, value) -> sameValue(value, right[key]) }
-            }
+fun sameValue(a: Any?, b: Any?): Boolean = when {
+    a is Map<*, *> && b is Map<*, *> -> {
+        a.filterValues { it != null }.let { left ->
+            val right = b.filterValues { it != null }
+            left.keys == right.keys && left.all { (key, value) -> sameValue(value, right[key]) }
         }
+    }
 
-        a is Collection<*> && b is Collection<*> -> a.size == b.size && a.zip(b).all { (x, y) -> sameValue(x, y) }
-
-        a is Number && b is Number -> {
-            if (a is Double || b is Double) a.toDouble() == b.toDouble() else BigInteger(a.toString()) == BigInteger(b.toString())
-        }
+    a is Collection<*> && b is Collection<*> -> a.size == b.size && a.zip(b).all { (x, y) -> sameValue(x, y) }
 
-        else -> a == b
+    a is Number && b is Number -> {
+        if (a is Double || b is Double) a.toDouble() == b.toDouble() else BigInteger(a.toString()) == BigInteger(b.toString())
     }
 
+    else -> a == b
+}
+
 /** Where things are kept in the state service. */
 object Keys {
     /** Slices, nodes, leader and token counter: few keys, watched by every node. */
@@ -112,21 +83,11 @@
 
     fun liveOf(slice: Int) = "live/$slice/"
 
-    fun live(
-        slice: Int,
-        ref: String,
-    ) = "live/$slice/$ref"
-
-    fun chunk(
-        slice: Int,
-        ref: String,
-        index: Int,
-    ) = "live/$slice/$ref/c$index"
-
-    fun abortMark(
-        slice: Int,
-        ref: String,
-    ) = "live/$slice/$ref/x"
+    fun live(slice: Int, ref: String) = "live/$slice/$ref"
+
+    fun chunk(slice: Int, ref: String, index: Int) = "live/$slice/$ref/c$index"
+
+    fun abortMark(slice: Int, ref: String) = "live/$slice/$ref/x"
 
     const val TOTALS = "totals/"
 
--- a/src/main/kotlin/io/reedmast/state/Committer.kt
+++ b/src/main/kotlin/io/reedmast/state/Committer.kt
@@ -13,12 +13,7 @@
  * keep it from being applied twice, and if the second copy fails, the keys are read to see whether the first copy had
  * been applied.
  */
-class Committer(
-    private val client: StateClient,
-    private val limits: StateLimits,
-    private val maxQueued: Int,
-    private val deliver: (Change, Outcome) -> Unit,
-) {
+class Committer(private val client: StateClient, private val limits: StateLimits, private val maxQueued: Int, private val deliver: (Change, Outcome) -> Unit) {
     private val log = LoggerFactory.getLogger("state")
     private val lock = Object()
     private val queue = ArrayDeque<Change>()
@@ -30,10 +25,7 @@
     val answering: Boolean get() = lastAnswered
 
     /** False if the queue is full; only changes asked for from outside may be refused. */
-    fun offer(
-        change: Change,
-        refusable: Boolean,
-    ): Boolean {
+    fun offer(change: Change, refusable: Boolean): Boolean {
         synchronized(lock) {
             if (refusable && queue.size >= maxQueued) return false
             queue.add(change)
@@ -57,10 +49,13 @@
             val written = HashSet<String>()
             while (queue.isNotEmpty()) {
                 val next = queue.peek()
-                val size = next.writes.sumOf { if (it is Write.Put) Tree.jsonSize(it.value) + it.path.length else it.path.length } + next.guards.size * GUARD_BYTES
+                val size =
+                    next.writes.sumOf { if (it is Write.Put) Tree.jsonSize(it.value) + it.path.length else it.path.length } + next.guards.size * GUARD_BYTES
                 val newGuards = next.guards.count { it.path !in guards }
                 // Two changes that disagree about a key, or write the same one, cannot share a transaction.
-                val clash = next.guards.any { g -> guards[g.path]?.let { it != g.stamp } ?: false } || next.guards.any { it.path in written } || next.writes.any { it.path in guards }
+                val clash =
+                    next.guards.any { g -> guards[g.path]?.let { it != g.stamp } ?: false } || next.guards.any { it.path in written } ||
+                        next.writes.any { it.path in guards }
                 val fits = ops + next.writes.size <= limits.opsPerCommit && guards.size + newGuards <= limits.opsPerCommit * 4 && bytes + size <= MAX_BYTES
                 if (batch.isNotEmpty() && (clash || !fits)) break
                 queue.poll()
--- a/src/main/kotlin/io/reedmast/state/StateClient.kt
+++ b/src/main/kotlin/io/reedmast/state/StateClient.kt
@@ -18,17 +18,10 @@
 import java.util.concurrent.TimeUnit
 
 /** One change of a watched prefix; a null [value] is a deletion. */
-data class Event(
-    val path: String,
-    val value: Fields?,
-    val stamp: Long,
-)
+data class Event(val path: String, val value: Fields?, val stamp: Long)
 
 sealed interface Watched {
-    data class Events(
-        val epoch: Long,
-        val events: List<Event>,
-    ) : Watched
+    data class Events(val epoch: Long, val events: List<Event>) : Watched
 
     /** The service has dropped the changes asked for: read the keys again. */
     data object TooOld : Watched
@@ -37,17 +30,11 @@
 }
 
 sealed interface CommitReply {
-    data class Applied(
-        val epoch: Long,
-    ) : CommitReply
+    data class Applied(val epoch: Long) : CommitReply
 
-    data class Failed(
-        val paths: Set<String>,
-    ) : CommitReply
+    data class Failed(val paths: Set<String>) : CommitReply
 
-    data class Bad(
-        val reason: String,
-    ) : CommitReply
+    data class Bad(val reason: String) : CommitReply
 
     /** Certainly not executed: worth sending again after a pause. */
     data object NotExecuted : CommitReply
@@ -57,12 +44,7 @@
 }
 
 /** Blocking calls to the state service, kept within this node's part of its limits. */
-class StateClient(
-    private val address: String,
-    private val limits: StateLimits,
-    nodes: Int,
-    private val caller: Caller,
-) {
+class StateClient(private val address: String, private val limits: StateLimits, nodes: Int, private val caller: Caller) {
     private val log = LoggerFactory.getLogger("state")
     private val requests = RateLimiter.create(limits.requestsPerS * SAFETY / nodes)
     private val changes = RateLimiter.create(limits.writesPerS * SAFETY / nodes)
@@ -105,10 +87,7 @@
         }
     }
 
-    fun commit(
-        guards: Collection<Guard>,
-        writes: List<Write>,
-    ): CommitReply {
+    fun commit(guards: Collection<Guard>, writes: List<Write>): CommitReply {
         if (writes.isNotEmpty() && !changes.tryAcquire(writes.size, PATIENCE_MS, TimeUnit.MILLISECONDS)) return CommitReply.NotExecuted
         val body =
             mapOf(
@@ -116,7 +95,13 @@
                 "writes" to
                     writes.map {
                         when (it) {
-                            is Write.Put -> if (it.lease == null) mapOf("put" to it.path, "v" to it.value) else mapOf("put" to it.path, "v" to it.value, "holding" to it.lease)
+                            is Write.Put -> if (it.lease ==
+                                null
+                            ) {
+                                mapOf("put" to it.path, "v" to it.value)
+                            } else {
+                                mapOf("put" to it.path, "v" to it.value, "holding" to it.lease)
+                            }
                             is Write.Delete -> mapOf("delete" to it.path)
                         }
                     },
@@ -153,11 +138,7 @@
         }
     }
 
-    fun follow(
-        prefix: String,
-        after: Long,
-        holdMs: Int,
-    ): Watched {
+    fun follow(prefix: String, after: Long, holdMs: Int): Watched {
         val reply = ask("GET", "/follow?prefix=${encode(prefix)}&after=$after&holdMs=$holdMs", patienceMs = holdMs + FOLLOW_GRACE_MS)
         if (reply !is Reply.Answer) return Watched.Failed
         return reading<Watched>(Watched.Failed) {
@@ -182,12 +163,7 @@
         }
     }
 
-    private fun ask(
-        method: String,
-        path: String,
-        body: Fields? = null,
-        patienceMs: Int? = null,
-    ): Reply {
+    private fun ask(method: String, path: String, body: Fields? = null, patienceMs: Int? = null): Reply {
         if (!requests.tryAcquire(PATIENCE_MS, TimeUnit.MILLISECONDS)) return Reply.NotSent("over this node's part of the limit")
         val reply =
             if (patienceMs == null) caller.call(method, address, path, body) else caller.call(method, address, path, body, patienceMs)
@@ -195,16 +171,12 @@
         return reply
     }
 
-    private inline fun <T> reading(
-        nonsense: T,
-        read: () -> T,
-    ): T =
-        try {
-            read()
-        } catch (e: MalformedException) {
-            log.error("the state service answers nonsense: {}", e.message)
-            nonsense
-        }
+    private inline fun <T> reading(nonsense: T, read: () -> T): T = try {
+        read()
+    } catch (e: MalformedException) {
+        log.error("the state service answers nonsense: {}", e.message)
+        nonsense
+    }
 
     private fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
 
--- a/src/main/kotlin/io/reedmast/wire/Caller.kt
+++ b/src/main/kotlin/io/reedmast/wire/Caller.kt
@@ -7,34 +7,18 @@
 
 /** What came of a call to another machine. */
 sealed interface Reply {
-    data class Answer(
-        val status: Int,
-        val body: Fields,
-    ) : Reply
+    data class Answer(val status: Int, val body: Fields) : Reply
 
     /** No connection was made, so the request cannot have been executed and never will be. */
-    data class NotSent(
-        val reason: String,
-    ) : Reply
+    data class NotSent(val reason: String) : Reply
 
     /** The request may have been executed, or may yet be. */
-    data class Unanswered(
-        val reason: String,
-    ) : Reply
+    data class Unanswered(val reason: String) : Reply
 }
 
 /** Calls other machines over HTTP with CBOR bodies; blocking, connections kept open and reused. */
-class Caller(
-    private val connectMs: Int,
-    private val readMs: Int,
-) {
-    fun call(
-        method: String,
-        address: String,
-        path: String,
-        body: Fields? = null,
-        patienceMs: Int = readMs,
-    ): Reply {
+class Caller(private val connectMs: Int, private val readMs: Int) {
+    fun call(method: String, address: String, path: String, body: Fields? = null, patienceMs: Int = readMs): Reply {
         val connection = URI.create("http://$address$path").toURL().openConnection() as HttpURLConnection
         try {
             connection.requestMethod = method
@@ -42,7 +26,13 @@
             connection.readTimeout = patienceMs
             connection.instanceFollowRedirects = false
             connection.useCaches = false
-            val bytes = if (body != null) Tree.writeCbor(body) else if (method == "POST") NOTHING else null
+            val bytes = if (body != null) {
+                Tree.writeCbor(body)
+            } else if (method == "POST") {
+                NOTHING
+            } else {
+                null
+            }
             if (bytes != null) {
                 connection.doOutput = true
                 connection.setRequestProperty("Content-Type", "application/cbor")
--- a/src/main/kotlin/io/reedmast/wire/Submission.kt
+++ b/src/main/kotlin/io/reedmast/wire/Submission.kt
@@ -1,9 +1,7 @@
 package io.reedmast.wire
 
 /** The priorities of the protocol, most urgent first. */
-enum class Rank(
-    val wire: String,
-) {
+enum class Rank(val wire: String) {
     PRODUCTION("production"),
     URGENT("urgent"),
     STANDARD("standard"),
@@ -40,29 +38,28 @@
 ) {
     val resumable: Boolean get() = markS > 0.0
 
-    fun toFields(): Fields =
-        mapOf(
-            "ref" to ref,
-            "lot" to lot,
-            "crew" to crew,
-            "shape" to if (service) "service" else "array",
-            "rank" to rank.wire,
-            "pieces" to pieces,
-            "cpus" to cpus,
-            "gpus" to gpus,
-            "memGb" to memGb,
-            "bundle" to bundle,
-            "sizeGb" to sizeGb,
-            "builds" to builds,
-            "yard" to yard,
-            "oneZone" to oneZone,
-            "apart" to apart,
-            "driftwood" to driftwood,
-            "guessS" to guessS,
-            "markS" to markS,
-            "stowS" to stowS,
-            "dueS" to dueS,
-        )
+    fun toFields(): Fields = mapOf(
+        "ref" to ref,
+        "lot" to lot,
+        "crew" to crew,
+        "shape" to if (service) "service" else "array",
+        "rank" to rank.wire,
+        "pieces" to pieces,
+        "cpus" to cpus,
+        "gpus" to gpus,
+        "memGb" to memGb,
+        "bundle" to bundle,
+        "sizeGb" to sizeGb,
+        "builds" to builds,
+        "yard" to yard,
+        "oneZone" to oneZone,
+        "apart" to apart,
+        "driftwood" to driftwood,
+        "guessS" to guessS,
+        "markS" to markS,
+        "stowS" to stowS,
+        "dueS" to dueS,
+    )
 
     companion object {
         const val MAX_PIECES = 100_000L
@@ -107,7 +104,6 @@
             )
         }
 
-        private fun String.limited(name: String): String =
-            if (length > MAX_NAME) throw MalformedException("$name is too long") else this
+        private fun String.limited(name: String): String = if (length > MAX_NAME) throw MalformedException("$name is too long") else this
     }
 }
--- a/src/main/kotlin/io/reedmast/wire/Tree.kt
+++ b/src/main/kotlin/io/reedmast/wire/Tree.kt
@@ -12,9 +12,7 @@
 import java.math.BigInteger
 
 /** Something on the wire, or in the state service, that does not have the form it should have. */
-class MalformedException(
-    message: String,
-) : Exception(message)
+class MalformedException(message: String) : Exception(message)
 
 /** A message body: a map keyed by text, as it comes from CBOR or from the JSON settings file. */
 typealias Fields = Map<String, Any?>
@@ -34,26 +32,22 @@
 
     fun readJson(body: ByteArray): Fields = readRoot { json.createParser(body) }
 
-    private inline fun readRoot(open: () -> JsonParser): Fields =
-        try {
-            open().use { parser ->
-                if (parser.nextToken() != JsonToken.START_OBJECT) throw MalformedException("the body is not a map")
-                val root = readMap(parser, 0)
-                if (parser.nextToken() != null) throw MalformedException("bytes follow the body")
-                root
-            }
-        } catch (e: JsonProcessingException) {
-            throw MalformedException("the body cannot be read: ${e.originalMessage}")
-        } catch (e: IOException) {
-            throw MalformedException("the body cannot be read: ${e.message}")
-        } catch (e: ArithmeticException) {
-            throw MalformedException("a number cannot be read: ${e.message}")
+    private inline fun readRoot(open: () -> JsonParser): Fields = try {
+        open().use { parser ->
+            if (parser.nextToken() != JsonToken.START_OBJECT) throw MalformedException("the body is not a map")
+            val root = readMap(parser, 0)
+            if (parser.nextToken() != null) throw MalformedException("bytes follow the body")
+            root
         }
+    } catch (e: JsonProcessingException) {
+        throw MalformedException("the body cannot be read: ${e.originalMessage}")
+    } catch (e: IOException) {
+        throw MalformedException("the body cannot be read: ${e.message}")
+    } catch (e: ArithmeticException) {
+        throw MalformedException("a number cannot be read: ${e.message}")
+    }
 
-    private fun readMap(
-        parser: JsonParser,
-        depth: Int,
-    ): Fields {
+    private fun readMap(parser: JsonParser, depth: Int): Fields {
         if (depth > MAX_DEPTH) throw MalformedException("nested too deeply")
         val map = LinkedHashMap<String, Any?>()
         while (true) {
@@ -65,56 +59,51 @@
         }
     }
 
-    private fun readValue(
-        parser: JsonParser,
-        token: JsonToken?,
-        depth: Int,
-    ): Any? =
-        when (token) {
-            JsonToken.START_OBJECT -> {
-                readMap(parser, depth)
-            }
+    private fun readValue(parser: JsonParser, token: JsonToken?, depth: Int): Any? = when (token) {
+        JsonToken.START_OBJECT -> {
+            readMap(parser, depth)
+        }
 
-            JsonToken.START_ARRAY -> {
-                if (depth > MAX_DEPTH) throw MalformedException("nested too deeply")
-                val list = ArrayList<Any?>()
-                while (true) {
-                    val next = parser.nextToken() ?: throw MalformedException("the body ends early")
-                    if (next == JsonToken.END_ARRAY) break
-                    list.add(readValue(parser, next, depth + 1))
-                }
-                list
+        JsonToken.START_ARRAY -> {
+            if (depth > MAX_DEPTH) throw MalformedException("nested too deeply")
+            val list = ArrayList<Any?>()
+            while (true) {
+                val next = parser.nextToken() ?: throw MalformedException("the body ends early")
+                if (next == JsonToken.END_ARRAY) break
+                list.add(readValue(parser, next, depth + 1))
             }
+            list
+        }
 
-            JsonToken.VALUE_STRING -> {
-                parser.text
-            }
+        JsonToken.VALUE_STRING -> {
+            parser.text
+        }
 
-            JsonToken.VALUE_NUMBER_INT -> {
-                val number = parser.numberValue
-                if (number is BigInteger) number else number.toLong()
-            }
+        JsonToken.VALUE_NUMBER_INT -> {
+            val number = parser.numberValue
+            if (number is BigInteger) number else number.toLong()
+        }
 
-            JsonToken.VALUE_NUMBER_FLOAT -> {
-                parser.doubleValue
-            }
+        JsonToken.VALUE_NUMBER_FLOAT -> {
+            parser.doubleValue
+        }
 
-            JsonToken.VALUE_TRUE -> {
-                true
-            }
+        JsonToken.VALUE_TRUE -> {
+            true
+        }
 
-            JsonToken.VALUE_FALSE -> {
-                false
-            }
+        JsonToken.VALUE_FALSE -> {
+            false
+        }
 
-            JsonToken.VALUE_NULL -> {
-                null
-            }
+        JsonToken.VALUE_NULL -> {
+            null
+        }
 
-            else -> {
-                throw MalformedException("a value of a kind that is not used here")
-            }
+        else -> {
+            throw MalformedException("a value of a kind that is not used here")
         }
+    }
 
     fun writeCbor(fields: Fields): ByteArray {
         val out = ByteArrayOutputStream(256)
@@ -129,10 +118,7 @@
         return out.size()
     }
 
-    private fun writeValue(
-        out: JsonGenerator,
-        value: Any?,
-    ) {
+    private fun writeValue(out: JsonGenerator, value: Any?) {
         when (value) {
             null -> {
                 out.writeNull()
@@ -165,8 +151,7 @@
 }
 
 /** Field access with the checks that every message needs. A null field counts as omitted. */
-fun Fields.text(name: String): String =
-    this[name] as? String ?: throw MalformedException(if (this[name] == null) "$name is missing" else "$name is not text")
+fun Fields.text(name: String): String = this[name] as? String ?: throw MalformedException(if (this[name] == null) "$name is missing" else "$name is not text")
 
 fun Fields.optionalText(name: String): String? = if (this[name] == null) null else text(name)
 
--- a/src/main/kotlin/io/reedmast/wire/WorkerMessages.kt
+++ b/src/main/kotlin/io/reedmast/wire/WorkerMessages.kt
@@ -1,9 +1,7 @@
 package io.reedmast.wire
 
 /** The state of one task on a worker. */
-enum class PieceStage(
-    val wire: String,
-) {
+enum class PieceStage(val wire: String) {
     FETCHING("fetching"),
     RUNNING("running"),
     SAVING("saving"),
@@ -11,9 +9,7 @@
 }
 
 /** Why a task ended, as far as the difference matters to a controller. */
-enum class Cause(
-    val wire: String,
-) {
+enum class Cause(val wire: String) {
     DONE("done"),
     HALTED("halted"),
     ERROR("error"),
@@ -23,10 +19,7 @@
 }
 
 /** One task of one job: `wk-000412/3`. */
-data class TaskId(
-    val ref: String,
-    val task: Int,
-) {
+data class TaskId(val ref: String, val task: Int) {
     override fun toString(): String = "$ref/$task"
 
     companion object {
@@ -39,12 +32,7 @@
     }
 }
 
-data class PieceReport(
-    val id: TaskId,
-    val attempt: Long,
-    val stage: PieceStage,
-    val cause: Cause?,
-)
+data class PieceReport(val id: TaskId, val attempt: Long, val stage: PieceStage, val cause: Cause?)
 
 /** A worker's report, from `/checkin`, `/do` or `/status`. */
 data class Report(
@@ -60,19 +48,18 @@
     val pieces: List<PieceReport>,
 ) {
     companion object {
-        fun parse(fields: Fields): Report =
-            Report(
-                host = fields.text("host"),
-                addr = fields.text("addr"),
-                build = fields.text("build"),
-                yard = fields.text("yard"),
-                driftwood = fields.optionalFlag("driftwood"),
-                tenure = fields.count("tenure"),
-                tally = fields.count("tally"),
-                baton = fields.count("baton"),
-                warningS = fields.optionalAmount("warningS"),
-                pieces = fields.maps("pieces").map { piece(it) },
-            )
+        fun parse(fields: Fields): Report = Report(
+            host = fields.text("host"),
+            addr = fields.text("addr"),
+            build = fields.text("build"),
+            yard = fields.text("yard"),
+            driftwood = fields.optionalFlag("driftwood"),
+            tenure = fields.count("tenure"),
+            tally = fields.count("tally"),
+            baton = fields.count("baton"),
+            warningS = fields.optionalAmount("warningS"),
+            pieces = fields.maps("pieces").map { piece(it) },
+        )
 
         private fun piece(fields: Fields): PieceReport {
             val stageName = fields.text("stage")
@@ -95,26 +82,15 @@
     val id: TaskId
     val attempt: Long
 
-    data class Launch(
-        override val id: TaskId,
-        override val attempt: Long,
-    ) : Order
+    data class Launch(override val id: TaskId, override val attempt: Long) : Order
 
-    data class Stop(
-        override val id: TaskId,
-        override val attempt: Long,
-        val mercyS: Double,
-    ) : Order
+    data class Stop(override val id: TaskId, override val attempt: Long, val mercyS: Double) : Order
 
-    data class Forget(
-        override val id: TaskId,
-        override val attempt: Long,
-    ) : Order
+    data class Forget(override val id: TaskId, override val attempt: Long) : Order
 
-    fun toFields(): Fields =
-        when (this) {
-            is Launch -> mapOf("verb" to "launch", "piece" to id.toString(), "try" to attempt)
-            is Stop -> mapOf("verb" to "stop", "piece" to id.toString(), "try" to attempt, "mercyS" to mercyS)
-            is Forget -> mapOf("verb" to "forget", "piece" to id.toString(), "try" to attempt)
-        }
+    fun toFields(): Fields = when (this) {
+        is Launch -> mapOf("verb" to "launch", "piece" to id.toString(), "try" to attempt)
+        is Stop -> mapOf("verb" to "stop", "piece" to id.toString(), "try" to attempt, "mercyS" to mercyS)
+        is Forget -> mapOf("verb" to "forget", "piece" to id.toString(), "try" to attempt)
+    }
 }
--- a/src/main/kotlin/io/reedmast/workers/Machine.kt
+++ b/src/main/kotlin/io/reedmast/workers/Machine.kt
@@ -9,12 +9,7 @@
 import io.reedmast.wire.text
 
 /** A machine as the slice record names it. */
-data class HostRecord(
-    val name: String,
-    val build: String,
-    val yard: String,
-    val driftwood: Boolean,
-) {
+data class HostRecord(val name: String, val build: String, val yard: String, val driftwood: Boolean) {
     fun toFields(): Fields = mapOf("host" to name, "build" to build, "yard" to yard, "spot" to driftwood)
 
     companion object {
@@ -33,10 +28,7 @@
 }
 
 /** The worker's session and the token that an unanswered launch was sent under. */
-data class LateLaunch(
-    val tenure: Long,
-    val token: Long,
-)
+data class LateLaunch(val tenure: Long, val token: Long)
 
 /** What the owner of a slice knows of one of its machines. */
 class Machine(
@@ -110,25 +102,14 @@
         }
     }
 
-    fun fits(
-        cpus: Double,
-        gpus: Double,
-        memGb: Double,
-    ): Boolean = cpus <= freeCpus + EPSILON && gpus <= freeGpus + EPSILON && memGb <= freeMemGb + EPSILON
-
-    fun noteLate(
-        id: TaskId,
-        attempt: Long,
-        launch: LateLaunch,
-    ) {
+    fun fits(cpus: Double, gpus: Double, memGb: Double): Boolean = cpus <= freeCpus + EPSILON && gpus <= freeGpus + EPSILON && memGb <= freeMemGb + EPSILON
+
+    fun noteLate(id: TaskId, attempt: Long, launch: LateLaunch) {
         late[id to attempt] = launch
     }
 
     /** Whether a launch of this attempt may still arrive at the machine. */
-    fun mayLaunch(
-        id: TaskId,
-        attempt: Long,
-    ): Boolean {
+    fun mayLaunch(id: TaskId, attempt: Long): Boolean {
         val key = id to attempt
         if (inFlight.containsKey(key)) return true
         val launch = late[key] ?: return false
@@ -140,10 +121,7 @@
     /** Messages overtake each other; only the newest says what is on the machine. */
     fun isNewer(report: Report): Boolean = report.tenure > tenure || (report.tenure == tenure && report.tally > tally)
 
-    fun noteImage(
-        bundle: String,
-        sizeGb: Double,
-    ) {
+    fun noteImage(bundle: String, sizeGb: Double) {
         images[bundle] = sizeGb
         val room = flavor?.cacheGb ?: return
         if (room <= 0.0) return
--- a/src/test/kotlin/io/reedmast/ScenarioTest.kt
+++ b/src/test/kotlin/io/reedmast/ScenarioTest.kt
@@ -26,14 +26,11 @@
  */
 class ScenarioTest {
     @TestFactory
-    fun scenarios(): List<DynamicTest> =
-        Path.of("src/test/resources/scenarios").listDirectoryEntries("*.txt").sorted().map { file ->
-            DynamicTest.dynamicTest(file.nameWithoutExtension) { Scenario(Files.readAllLines(file)).run() }
-        }
+    fun scenarios(): List<DynamicTest> = Path.of("src/test/resources/scenarios").listDirectoryEntries("*.txt").sorted().map { file ->
+        DynamicTest.dynamicTest(file.nameWithoutExtension) { Scenario(Files.readAllLines(file)).run() }
+    }
 
-    private class Scenario(
-        lines: List<String>,
-    ) {
+    private class Scenario(lines: List<String>) {
         private val lines = lines.map { it.substringBefore('#').trim() }.filter { it.isNotEmpty() }.map { it.split(Regex("\\s+")) }
         private val teams = given("team").map { TeamShare(it[1], it[2].toDouble(), it[3].toDouble(), 0.0, 0.0) }
         private val nodes = given("nodes").firstOrNull()?.get(1)?.toInt() ?: 3
@@ -42,23 +39,22 @@
 
         private fun given(word: String) = lines.filter { it[0] == word }
 
-        private fun settings(node: Int): Settings =
-            Settings(
-                label = "n$node",
-                front = World.address(node, 8080),
-                clusterListen = World.address(node, 8081),
-                members = (0 until nodes).map { Member("n$it", World.address(it, 8081)) },
-                self = NodeIndex(node),
-                cloud = "10.2.0.2:1",
-                state = "10.2.0.1:1",
-                zones = listOf("x", "y"),
-                teams = teams,
-                objectives = emptyList<Objective>(),
-                workers = WorkerRules(3.0, 16.0, 41.0),
-                stateLimits = StateLimits(100.0, 50.0, 8192, 16),
-                cloudLimits = CloudLimits(2.0, 5.0),
-                maxConnections = 1000,
-            )
+        private fun settings(node: Int): Settings = Settings(
+            label = "n$node",
+            front = World.address(node, 8080),
+            clusterListen = World.address(node, 8081),
+            members = (0 until nodes).map { Member("n$it", World.address(it, 8081)) },
+            self = NodeIndex(node),
+            cloud = "10.2.0.2:1",
+            state = "10.2.0.1:1",
+            zones = listOf("x", "y"),
+            teams = teams,
+            objectives = emptyList<Objective>(),
+            workers = WorkerRules(3.0, 16.0, 41.0),
+            stateLimits = StateLimits(100.0, 50.0, 8192, 16),
+            cloudLimits = CloudLimits(2.0, 5.0),
+            maxConnections = 1000,
+        )
 
         fun run() {
             given("capacity").forEach { world.capacity = it[1].toInt() }
@@ -106,17 +102,16 @@
             }
         }
 
-        private fun expect(
-            words: List<String>,
-            args: Map<String, String>,
-        ) {
+        private fun expect(words: List<String>, args: Map<String, String>) {
             val at = "at ${world.now() / 1000.0} s: ${words.joinToString(" ")}"
             when (words[0]) {
                 // What every node says of a job, or the one named.
                 "stage" -> {
                     val asked = world.nodes.filter { it.up && (args["via"] == null || it.label == args["via"]) }
                     val said = ArrayList<String>()
-                    asked.forEach { node -> node.ask(words[1], { c, answer -> c.poll(words[1], answer) }) { said.add((it.body["stage"] ?: it.status).toString()) } }
+                    asked.forEach { node ->
+                        node.ask(words[1], { c, answer -> c.poll(words[1], answer) }) { said.add((it.body["stage"] ?: it.status).toString()) }
+                    }
                     world.runUntil(world.now() + 100)
                     assertEquals(asked.map { words[2] }, said, at)
                 }
--- a/src/test/kotlin/io/reedmast/WireTest.kt
+++ b/src/test/kotlin/io/reedmast/WireTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
+import java.util.HexFormat
 
 class WireTest {
     private val job =
@@ -33,7 +34,7 @@
     @Test
     fun `any width of float and form of length is read`() {
         // {"a": 1.5 (half), "b": 1.5 (single), "c": [_ 1]} with an indefinite map.
-        val bytes = byteArrayOf(0xbf.toByte(), 0x61, 0x61, 0xf9.toByte(), 0x3e, 0x00, 0x61, 0x62, 0xfa.toByte(), 0x3f, 0xc0.toByte(), 0, 0, 0x61, 0x63, 0x9f.toByte(), 1, 0xff.toByte(), 0xff.toByte())
+        val bytes = HexFormat.of().parseHex("bf" + "6161" + "f93e00" + "6162" + "fa3fc00000" + "6163" + "9f01ff" + "ff")
         val fields = Tree.readCbor(bytes)
         assertEquals(1.5, fields.amount("a"))
         assertEquals(1.5, fields.amount("b"))
@@ -53,7 +54,14 @@
 
     @Test
     fun `what is not one CBOR map is malformed`() {
-        for (bytes in listOf(byteArrayOf(), byteArrayOf(0x01), byteArrayOf(0x80.toByte()), byteArrayOf(0xa1.toByte(), 0x61), byteArrayOf(0xa0.toByte(), 0xa0.toByte()), "{}".toByteArray())) {
+        for (bytes in listOf(
+            byteArrayOf(),
+            byteArrayOf(0x01),
+            byteArrayOf(0x80.toByte()),
+            byteArrayOf(0xa1.toByte(), 0x61),
+            byteArrayOf(0xa0.toByte(), 0xa0.toByte()),
+            "{}".toByteArray(),
+        )) {
             assertThrows(MalformedException::class.java) { Tree.readCbor(bytes) }
         }
     }
--- a/src/test/kotlin/io/reedmast/sim/SimState.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -10,14 +10,8 @@
 import java.util.TreeMap
 
 /** The state service of PROTOCOL: conditional transactions, stamps, leases. */
-class SimState(
-    private val world: World,
-) {
-    private class Entry(
-        val value: Fields,
-        val stamp: Long,
-        val lease: Long?,
-    )
+class SimState(private val world: World) {
+    private class Entry(val value: Fields, val stamp: Long, val lease: Long?)
 
     private val entries = TreeMap<String, Entry>()
     private val log = ArrayList<Event>()
@@ -82,10 +76,7 @@
         return leaseCount
     }
 
-    fun extend(
-        lease: Long,
-        lifeMs: Long,
-    ): Boolean {
+    fun extend(lease: Long, lifeMs: Long): Boolean {
         expire()
         return leases.computeIfPresent(lease) { _, _ -> world.now() + lifeMs } != null
     }
--- a/src/test/kotlin/io/reedmast/sim/SimWorker.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimWorker.kt
@@ -11,18 +11,8 @@
 import io.reedmast.wire.TaskId
 
 /** A worker of PROTOCOL: tokens, sessions, leases, images, and the commands' effects. */
-class SimWorker(
-    private val world: World,
-    val name: String,
-    val flavor: Flavor,
-    val yard: String,
-    val spot: Boolean,
-    private val rentedAt: Long,
-) {
-    private class Task(
-        val id: TaskId,
-        val attempt: Long,
-    ) {
+class SimWorker(private val world: World, val name: String, val flavor: Flavor, val yard: String, val spot: Boolean, private val rentedAt: Long) {
+    private class Task(val id: TaskId, val attempt: Long) {
         var stage = PieceStage.FETCHING
         var cause: Cause? = null
     }
@@ -132,11 +122,7 @@
         inFlight = false
     }
 
-    private fun take(
-        answer: WorkerAnswer,
-        sentAt: Long,
-        sentIn: Long,
-    ) {
+    private fun take(answer: WorkerAnswer, sentAt: Long, sentIn: Long) {
         if (gone) return
         if (hung) {
             whenResumed { inFlight = false }
@@ -170,11 +156,7 @@
         }
     }
 
-    fun direct(
-        token: Long,
-        session: Long,
-        orders: List<Order>,
-    ): Reply {
+    fun direct(token: Long, session: Long, orders: List<Order>): Reply {
         if (gone || !started) return Reply.Unanswered("gone")
         if (token < baton || session != tenure) return Reply.Answer(409, fields(report()))
         if (token > baton) {
@@ -222,10 +204,7 @@
         later(fetchMs, task) { run(task, job) }
     }
 
-    private fun run(
-        task: Task,
-        job: World.SimJob,
-    ) {
+    private fun run(task: Task, job: World.SimJob) {
         images.add(job.spec.bundle)
         task.stage = PieceStage.RUNNING
         changed()
@@ -241,36 +220,28 @@
     }
 
     /** A task's own time: it stands still while the machine hangs, and ends with the task. */
-    private fun later(
-        ms: Long,
-        task: Task,
-        work: () -> Unit,
-    ) {
+    private fun later(ms: Long, task: Task, work: () -> Unit) {
         world.after(ms) {
             if (gone || tasks[task.id to task.attempt] !== task || task.stage == PieceStage.ENDED) return@after
             if (hung) whenResumed { later(1, task, work) } else work()
         }
     }
 
-    private fun end(
-        task: Task,
-        cause: Cause,
-    ) {
+    private fun end(task: Task, cause: Cause) {
         task.stage = PieceStage.ENDED
         task.cause = cause
         changed()
     }
 
-    private fun fields(report: Report): Map<String, Any?> =
-        mapOf(
-            "host" to report.host,
-            "addr" to report.addr,
-            "build" to report.build,
-            "yard" to report.yard,
-            "driftwood" to report.driftwood,
-            "tenure" to report.tenure,
-            "tally" to report.tally,
-            "baton" to report.baton,
-            "pieces" to report.pieces.map { mapOf("piece" to it.id.toString(), "try" to it.attempt, "stage" to it.stage.wire, "cause" to it.cause?.wire) },
-        )
+    private fun fields(report: Report): Map<String, Any?> = mapOf(
+        "host" to report.host,
+        "addr" to report.addr,
+        "build" to report.build,
+        "yard" to report.yard,
+        "driftwood" to report.driftwood,
+        "tenure" to report.tenure,
+        "tally" to report.tally,
+        "baton" to report.baton,
+        "pieces" to report.pieces.map { mapOf("piece" to it.id.toString(), "try" to it.attempt, "stage" to it.stage.wire, "cause" to it.cause?.wire) },
+    )
 }
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -8,6 +8,7 @@
 import io.reedmast.app.WorkerAnswer
 import io.reedmast.fleet.Rental
 import io.reedmast.jobs.UserAnswer
+import io.reedmast.peers.Progress
 import io.reedmast.settings.Settings
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Change
@@ -20,22 +21,14 @@
 import io.reedmast.wire.Order
 import io.reedmast.wire.Rank
 import io.reedmast.wire.Reply
+import io.reedmast.wire.Report
 import io.reedmast.wire.TaskId
 import java.net.InetSocketAddress
 import java.util.PriorityQueue
 
 /** A deterministic world: simulated time, a state service, a cloud, workers and users, around real controllers. */
-class World(
-    private val settingsOf: (Int) -> Settings,
-    nodes: Int,
-    val flavors: List<Flavor>,
-    private val tuning: Tuning = Tuning(),
-) : Clock {
-    private class Event(
-        val at: Long,
-        val order: Long,
-        val work: () -> Unit,
-    )
+class World(private val settingsOf: (Int) -> Settings, nodes: Int, val flavors: List<Flavor>, private val tuning: Tuning = Tuning()) : Clock {
+    private class Event(val at: Long, val order: Long, val work: () -> Unit)
 
     private var time = 1_000L
     private var order = 0L
@@ -58,10 +51,7 @@
 
     override fun wall(): Long = 1_700_000_000_000L + time
 
-    fun after(
-        ms: Long,
-        work: () -> Unit,
-    ) {
+    fun after(ms: Long, work: () -> Unit) {
         events.add(Event(time + ms, order++, work))
     }
 
@@ -76,12 +66,7 @@
         time = ms
     }
 
-    fun addWorker(
-        build: String,
-        yard: String,
-        spot: Boolean,
-        bootMs: Long,
-    ): SimWorker {
+    fun addWorker(build: String, yard: String, spot: Boolean, bootMs: Long): SimWorker {
         val name = "host-%06d".format(hosts++)
         val worker = SimWorker(this, name, flavors.first { it.label == build }, yard, spot, time)
         workers[name] = worker
@@ -94,20 +79,13 @@
     }
 
     /** A job as a scenario describes it, with what its tasks really do. */
-    class SimJob(
-        val spec: JobSpec,
-        val runMs: Long,
-        val fails: Boolean,
-    ) {
+    class SimJob(val spec: JobSpec, val runMs: Long, val fails: Boolean) {
         var abortedAt = 0L
         val completed = HashSet<Int>()
     }
 
     /** Checks, when a task starts, that the rules hold. */
-    fun started(
-        worker: SimWorker,
-        id: TaskId,
-    ) {
+    fun started(worker: SimWorker, id: TaskId) {
         val job = jobs.getValue(id.ref)
         val everywhere = workers.values.flatMap { w -> w.onMachine().map { w to it } }
         if (everywhere.count { it.second == id } > 1) breach("ran_twice $id on ${everywhere.filter { it.second == id }.map { it.first.name }}")
@@ -132,10 +110,7 @@
         }
     }
 
-    fun answered(
-        ref: String,
-        answer: UserAnswer,
-    ) {
+    fun answered(ref: String, answer: UserAnswer) {
         val stage = answer.body["stage"] as? String ?: return
         val job = jobs[ref]
         val before = told[ref]
@@ -146,9 +121,7 @@
     }
 
     /** One controller; [up] and the cuts say what reaches it. */
-    inner class SimNode(
-        val index: Int,
-    ) {
+    inner class SimNode(val index: Int) {
         val label = settingsOf(index).label
         var up = false
         var stateCut = false
@@ -203,11 +176,7 @@
             after(40) { watch(of) }
         }
 
-        fun ask(
-            ref: String,
-            question: (Controller, (UserAnswer) -> Unit) -> Unit,
-            done: (UserAnswer) -> Unit = {},
-        ) {
+        fun ask(ref: String, question: (Controller, (UserAnswer) -> Unit) -> Unit, done: (UserAnswer) -> Unit = {}) {
             val c = controller ?: return
             question(c) {
                 answered(ref, it)
@@ -215,23 +184,14 @@
             }
         }
 
-        private inner class Out(
-            val of: Int,
-        ) : Outward {
+        private inner class Out(val of: Int) : Outward {
             override val stateAnswers: Boolean get() = !stateCut && state.up
 
-            private fun <T> reply(
-                ms: Long,
-                done: (T) -> Unit,
-                make: () -> T,
-            ) = after(ms) { if (life == of) done(make()) }
+            private fun <T> reply(ms: Long, done: (T) -> Unit, make: () -> T) = after(ms) { if (life == of) done(make()) }
 
             private val reachable: Boolean get() = !stateCut && state.up && life == of
 
-            override fun commit(
-                change: Change,
-                refusable: Boolean,
-            ): Boolean {
+            override fun commit(change: Change, refusable: Boolean): Boolean {
                 if (lateCommitMs > 0L) {
                     after(lateCommitMs) {
                         val outcome = state.commit(change)
@@ -252,25 +212,16 @@
                 return true
             }
 
-            override fun get(
-                path: String,
-                done: (Fetched) -> Unit,
-            ) = reply(4, done) {
+            override fun get(path: String, done: (Fetched) -> Unit) = reply(4, done) {
                 if (!reachable) Fetched.Failed else state.get(path)?.let { Fetched.Found(it) } ?: Fetched.Missing
             }
 
-            override fun list(
-                prefix: String,
-                done: (List<Item>?) -> Unit,
-            ) = reply(5, done) { if (reachable) state.list(prefix) else null }
-
-            override fun direct(
-                addr: String,
-                baton: Long,
-                tenure: Long,
-                orders: List<Order>,
-                done: (Reply) -> Unit,
-            ) {
+            override fun list(prefix: String, done: (List<Item>?) -> Unit) = reply(5, done) { if (reachable) state.list(prefix) else null }
+
+            override fun progress(label: String, ref: String, done: (Progress?) -> Unit) =
+                reply(2, done) { nodes.first { it.label == label }.controller?.progress(ref) }
+
+            override fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit) {
                 val worker = workers.values.firstOrNull { it.addr == addr }
                 val late = lateDirectMs
                 lateDirectMs = 0L
@@ -298,10 +249,7 @@
                 }
             }
 
-            override fun rent(
-                rental: Rental,
-                done: (Rented) -> Unit,
-            ) = reply(200, done) {
+            override fun rent(rental: Rental, done: (Rented) -> Unit) = reply(200, done) {
                 val names =
                     charters.getOrPut(rental.charter) {
                         if (cloudOut) return@reply Rented.Failed
@@ -311,27 +259,19 @@
                 if (names.isEmpty()) Rented.NoCapacity else Rented.Hosts(names)
             }
 
-            override fun giveBack(
-                hosts: List<String>,
-                done: (Boolean) -> Unit,
-            ) = after(200) {
+            override fun giveBack(hosts: List<String>, done: (Boolean) -> Unit) = after(200) {
                 if (!cloudOut) hosts.forEach { workers.remove(it)?.vanish() }
                 val confirmed = !cloudOut
                 reply(1, done) { confirmed }
             }
 
-            override fun listHosts(done: (List<ListedHost>?) -> Unit) =
-                reply(200, done) {
-                    workers.values.map { ListedHost(it.name, it.addr, it.flavor.label, it.yard, it.spot, "running", 0.0) }
-                }
+            override fun listHosts(done: (List<ListedHost>?) -> Unit) = reply(200, done) {
+                workers.values.map { ListedHost(it.name, it.addr, it.flavor.label, it.yard, it.spot, "running", 0.0) }
+            }
 
             override fun flavors(done: (List<Flavor>?) -> Unit) = reply(100, done) { flavors }
 
-            override fun extendLease(
-                lease: Long?,
-                lifeMs: Long,
-                done: (LeaseState) -> Unit,
-            ) = reply(4, done) {
+            override fun extendLease(lease: Long?, lifeMs: Long, done: (LeaseState) -> Unit) = reply(4, done) {
                 when {
                     !reachable -> LeaseState.Unknown
                     lease == null -> LeaseState.Held(state.lease(lifeMs), true)
@@ -340,25 +280,16 @@
                 }
             }
 
-            override fun shareLimits(
-                aliveNodes: Int,
-                leading: Boolean,
-            ) = Unit
+            override fun shareLimits(aliveNodes: Int, leading: Boolean) = Unit
         }
     }
 
     private fun bootMs(build: String) = (flavors.first { it.label == build }.startupS * 1000).toLong()
 
     companion object {
-        fun address(
-            node: Int,
-            port: Int,
-        ) = InetSocketAddress("10.0.0.${node + 1}", port)
-
-        fun spec(
-            ref: String,
-            args: Map<String, String>,
-        ) = JobSpec(
+        fun address(node: Int, port: Int) = InetSocketAddress("10.0.0.${node + 1}", port)
+
+        fun spec(ref: String, args: Map<String, String>) = JobSpec(
             ref = ref,
             lot = args["lot"] ?: "lot",
             crew = args["crew"] ?: "a",
@@ -382,8 +313,5 @@
         )
     }
 
-    fun workerAnswer(
-        node: SimNode,
-        report: io.reedmast.wire.Report,
-    ): WorkerAnswer? = node.controller?.checkin(report)
+    fun workerAnswer(node: SimNode, report: io.reedmast.wire.Report): WorkerAnswer? = node.controller?.checkin(report)
 }
