--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -923,9 +923,12 @@
     }
 
     private fun idle(machine: Machine, now: Long): Boolean =
-        machine.placements.isEmpty() && machine.everHeard && now - machine.emptySince > tuning.idleS * 1000 &&
+        machine.placements.isEmpty() && machine.everHeard && now - machine.emptySince > patience(machine) &&
             now - activeAt > tuning.idleS * 1000 && !spareNeeded(machine, now)
 
+    /** How long an empty machine is kept, in milliseconds: a cheap one is kept longer than it takes to boot another. */
+    private fun patience(machine: Machine): Double = tuning.idleS * 1000 * if (machine.record.driftwood) SPOT_PATIENCE else ORDINARY_PATIENCE
+
     /** Whether the slice would have too little free room for the services that arrive while a machine boots. */
     private fun spareNeeded(machine: Machine, now: Long): Boolean {
         val wanted = headroom(now)
@@ -1080,6 +1083,8 @@
     }
 
     private companion object {
+        const val SPOT_PATIENCE = 2.0
+        const val ORDINARY_PATIENCE = 0.5
         const val GREET_AFTER_MS = 2_500L
         const val GREET_EVERY_MS = 4_000L
         const val GREET_FOR_MS = 30_000L
--- a/src/main/kotlin/io/reedmast/placement/Choice.kt
+++ b/src/main/kotlin/io/reedmast/placement/Choice.kt
@@ -47,13 +47,27 @@
     return best
 }
 
-/** Seconds until the task could run, and smaller reasons: spot machines for work that may use them, fuller ones first. */
+/**
+ * Seconds until the task could run, and what else speaks against the machine, in the same unit.
+ *
+ * Services stay for long and hold their machines, so they gather on few and cheap ones; other work fills up what services
+ * hold anyway, then spot machines, and leaves ordinary machines to become empty.
+ */
 private fun score(spec: JobSpec, machine: Machine): Double {
     val flavor = machine.flavor ?: return Double.MAX_VALUE
     val fetch = if (spec.bundle in machine.images) 0.0 else spec.sizeGb / flavor.pullGbPerS
-    val ordinary = if (spec.driftwood && !machine.record.driftwood) ORDINARY_S else 0.0
-    return fetch + ordinary + FULLNESS_S * machine.freeCpus / maxOf(flavor.cpus, 1e-3)
+    val held = machine.placements.values.any { it.job.spec.service }
+    val fullness = FULLNESS_S * machine.freeCpus / maxOf(flavor.cpus, 1e-3)
+    val cost =
+        when {
+            held || (spec.driftwood && machine.record.driftwood) -> 0.0
+            else -> COST_S * machine.hourly / maxOf(flavor.cpus, 1e-3)
+        }
+    return fetch + fullness + cost + if (spec.service && !held) LONE_S else 0.0
 }
 
-private const val ORDINARY_S = 1.0
-private const val FULLNESS_S = 3.0
+private const val FULLNESS_S = 1.0
+private const val LONE_S = 1.0
+
+/** An hour's price of a CPU, as seconds of delay that are worth it. */
+private const val COST_S = 30.0
--- a/src/main/kotlin/io/reedmast/workers/Machine.kt
+++ b/src/main/kotlin/io/reedmast/workers/Machine.kt
@@ -79,6 +79,7 @@
     val freeCpus: Double get() = (flavor?.cpus ?: 0.0) - usedCpus - strayCpus
     val freeGpus: Double get() = (flavor?.gpus ?: 0.0) - usedGpus - strayGpus
     val freeMemGb: Double get() = (flavor?.memGb ?: 0.0) - usedMemGb - strayMemGb
+    val hourly: Double get() = flavor?.let { if (record.driftwood) it.lowPrice ?: it.hourly else it.hourly } ?: 0.0
     val usable: Boolean get() = trusted && retirement == null && !returning && flavor != null
 
     fun add(placement: Placement) {
