--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -32,7 +32,7 @@
     private var flavors: Map<String, Flavor> = emptyMap()
     private var flavorsAsked = false
     private var flavorsDue = 0L
-    val cluster = Cluster(settings, tuning, clock, out) { flavors[it] }
+    val cluster = Cluster(settings, tuning, clock, out) { flavors.values }
     private val leader = Leader(settings, tuning, clock, out, cluster, { flavors }, charterPrefix)
     private val jobs = JobDoor(settings, clock, out, cluster) { flavors }
 
--- a/src/main/kotlin/io/reedmast/fleet/Demand.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Demand.kt
@@ -15,6 +15,8 @@
     val driftwood: Boolean,
     val builds: List<String>?,
     val yard: String?,
+    /** The jobs are past their due time: then a dear machine is better than none. */
+    val late: Boolean,
     val count: Int,
 ) {
     fun toFields(): Fields = mapOf(
@@ -24,6 +26,7 @@
         "spot" to driftwood,
         "builds" to builds,
         "yard" to yard,
+        "late" to late,
         "count" to count,
     )
 
@@ -35,6 +38,7 @@
             fields.flag("spot"),
             fields.optionalTexts("builds"),
             fields.optionalText("yard"),
+            fields.flag("late"),
             fields.count("count").toInt(),
         )
     }
--- a/src/main/kotlin/io/reedmast/fleet/Offer.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Offer.kt
@@ -12,8 +12,6 @@
  * A pure function: [soldOut] says which offers were refused lately, [held] how many machines of ours a zone has.
  */
 fun shop(demand: Demand, flavors: Collection<Flavor>, soldOut: (Offer) -> Boolean, held: (String) -> Int): Pair<Offer, Int>? {
-    val cheapestSpot =
-        flavors.filter { demand.builds == null || it.label in demand.builds }.minOfOrNull { perTask(it, demand, it.lowPrice) } ?: Double.MAX_VALUE
     var best: Pair<Offer, Int>? = null
     var bestCost = Double.MAX_VALUE
     for (flavor in flavors) {
@@ -25,7 +23,7 @@
         for (spot in listOf(true, false)) {
             val price = if (spot) flavor.lowPrice?.times(SPOT_RISK) else flavor.hourly
             if (price == null || (spot && !demand.driftwood)) continue
-            if (!spot && demand.driftwood && perTask(flavor, demand, price) > cheapestSpot * MOST_PREMIUM) continue
+            if (!spot && demand.driftwood && !demand.late && isDear(flavor, flavors, demand.cpus, demand.gpus, demand.memGb)) continue
             val yard = yards.firstOrNull { !soldOut(Offer(flavor.label, it, spot)) } ?: continue
             // A machine that is only partly filled still costs as a whole.
             val cost = price * count
@@ -38,10 +36,14 @@
     return best
 }
 
-/** An hour's price of the room for one task. */
-private fun perTask(flavor: Flavor, demand: Demand, price: Double?): Double {
-    val holds = flavor.holds(demand.cpus, demand.gpus, demand.memGb)
-    return if (price == null || holds < 1) Double.MAX_VALUE else price / holds
+/** Whether an ordinary machine of this type is too dear for tasks of this shape that may use spot machines. */
+fun isDear(flavor: Flavor, flavors: Collection<Flavor>, cpus: Double, gpus: Double, memGb: Double): Boolean {
+    fun perTask(of: Flavor, price: Double?): Double {
+        val holds = of.holds(cpus, gpus, memGb)
+        return if (price == null || holds < 1) Double.MAX_VALUE else price / holds
+    }
+    val cheapest = flavors.minOfOrNull { perTask(it, it.lowPrice) } ?: return false
+    return perTask(flavor, flavor.hourly) > cheapest * MOST_PREMIUM
 }
 
 /**
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -8,6 +8,7 @@
 import io.reedmast.fairshare.funded
 import io.reedmast.fairshare.mayYield
 import io.reedmast.fleet.Demand
+import io.reedmast.fleet.isDear
 import io.reedmast.ownership.SliceRecord
 import io.reedmast.peers.Progress
 import io.reedmast.placement.allows
@@ -70,7 +71,7 @@
     private val tuning: Tuning,
     private val clock: Clock,
     private val out: Outward,
-    private val flavorOf: (String) -> Flavor?,
+    private val flavors: () -> Collection<Flavor>,
     /** Whether this node has lately heard enough from the state service to act. */
     private val fresh: () -> Boolean,
     private val records: SliceRecords,
@@ -222,6 +223,8 @@
         machine.add(placement)
     }
 
+    private fun flavorOf(build: String): Flavor? = flavors().firstOrNull { it.label == build }
+
     fun flavorsChanged() {
         for (machine in machines.values) flavorOf(machine.record.build)?.let { machine.flavor = it }
         placeWanted = true
@@ -589,6 +592,10 @@
         return if (due == null) job.acceptedAtMs else job.acceptedAtMs + (due * 1000).toLong()
     }
 
+    private fun late(job: Job): Boolean = clock.wall() > dueMs(job) + if (job.spec.dueS == null) LATE_WITHOUT_DUE_MS else 0L
+
+    private fun dear(flavor: Flavor, spec: JobSpec): Boolean = isDear(flavor, flavors(), spec.cpus, spec.gpus, spec.memGb)
+
     /** Funded work before uncharged work; teams within their guarantee first, then by charged use against allocation. */
     private fun place() {
         val now = clock.now()
@@ -620,7 +627,7 @@
         if (job.waitingCount <= 0 || allowance(job) < 1) return false
         val task = job.nextWaiting()
         if (task < 0) return false
-        val machine = choose(job, machines.values) ?: return false
+        val machine = choose(job, machines.values, late(job), ::dear) ?: return false
         val attempt = (record.token shl ATTEMPT_BITS) + ++attempts
         val placement = Placement(job, task, attempt, machine, now)
         job.add(placement)
@@ -1005,7 +1012,7 @@
             }
             if (!spec.service) tasks = ceil(tasks * excess).toInt()
             if (tasks > 0) {
-                val shape = Demand(spec.cpus, spec.gpus, spec.memGb, spec.driftwood, spec.builds, spec.yard, 0)
+                val shape = Demand(spec.cpus, spec.gpus, spec.memGb, spec.driftwood, spec.builds, spec.yard, late(job), 0)
                 shapes.merge(shape, tasks, Int::plus)
             }
         }
@@ -1083,6 +1090,7 @@
     }
 
     private companion object {
+        const val LATE_WITHOUT_DUE_MS = 120_000L
         const val SPOT_PATIENCE = 2.0
         const val ORDINARY_PATIENCE = 0.5
         const val GREET_AFTER_MS = 2_500L
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -39,7 +39,7 @@
     private val tuning: Tuning,
     private val clock: Clock,
     private val out: Outward,
-    private val flavorOf: (String) -> Flavor?,
+    private val flavors: () -> Collection<Flavor>,
 ) : SliceRecords {
     private val log = LoggerFactory.getLogger("cluster")
     private val slices = (0 until settings.slices).map { SliceIndex(it) }
@@ -336,7 +336,7 @@
                     owners[slice.value] = null
                     seeToken(fresh, outcome.epoch)
                     seeSlice(slice, record, outcome.epoch)
-                    val owner = SliceOwner(slice, settings, tuning, clock, out, flavorOf, ::fresh, this)
+                    val owner = SliceOwner(slice, settings, tuning, clock, out, flavors, ::fresh, this)
                     owners[slice.value] = owner
                     read(owner, record, outcome.epoch)
                 } else {
--- a/src/main/kotlin/io/reedmast/placement/Choice.kt
+++ b/src/main/kotlin/io/reedmast/placement/Choice.kt
@@ -1,6 +1,7 @@
 package io.reedmast.placement
 
 import io.reedmast.jobs.Job
+import io.reedmast.wire.Flavor
 import io.reedmast.wire.JobSpec
 import io.reedmast.workers.Machine
 
@@ -28,8 +29,12 @@
     return !spec.apart || here + 1 <= (spec.pieces + 1) / 2
 }
 
-/** The machine on which a task of [job] should start now, or null. Lower scores are better. */
-fun choose(job: Job, machines: Collection<Machine>): Machine? {
+/**
+ * The machine on which a task of [job] should start now, or null. Lower scores are better.
+ *
+ * Work that may use spot machines keeps an ordinary one that is [dear] from becoming empty only if it is [late].
+ */
+fun choose(job: Job, machines: Collection<Machine>, late: Boolean, dear: (Flavor, JobSpec) -> Boolean): Machine? {
     val spec = job.spec
     var best: Machine? = null
     var bestScore = Double.MAX_VALUE
@@ -37,6 +42,7 @@
         if (!machine.usable || machine.warningUntil != 0L) continue
         if (!machine.fits(spec.cpus, spec.gpus, spec.memGb)) continue
         if (!allows(spec, machine.record.build, machine.record.yard, machine.record.driftwood)) continue
+        if (!late && spec.driftwood && !machine.record.driftwood && !machine.held && machine.flavor?.let { dear(it, spec) } == true) continue
         if (machine in job.failedOn || !zonesAllow(job, machine.record.yard)) continue
         val score = score(spec, machine)
         if (score < bestScore) {
@@ -56,14 +62,13 @@
 private fun score(spec: JobSpec, machine: Machine): Double {
     val flavor = machine.flavor ?: return Double.MAX_VALUE
     val fetch = if (spec.bundle in machine.images) 0.0 else spec.sizeGb / flavor.pullGbPerS
-    val held = machine.placements.values.any { it.job.spec.service }
     val fullness = FULLNESS_S * machine.freeCpus / maxOf(flavor.cpus, 1e-3)
     val cost =
         when {
-            held || (spec.driftwood && machine.record.driftwood) -> 0.0
+            spec.driftwood && (machine.held || machine.record.driftwood) -> 0.0
             else -> COST_S * machine.hourly / maxOf(flavor.cpus, 1e-3)
         }
-    return fetch + fullness + cost + if (spec.service && !held) LONE_S else 0.0
+    return fetch + fullness + cost + if (spec.service && !machine.held) LONE_S else 0.0
 }
 
 private const val FULLNESS_S = 1.0
--- a/src/main/kotlin/io/reedmast/workers/Machine.kt
+++ b/src/main/kotlin/io/reedmast/workers/Machine.kt
@@ -80,6 +80,9 @@
     val freeGpus: Double get() = (flavor?.gpus ?: 0.0) - usedGpus - strayGpus
     val freeMemGb: Double get() = (flavor?.memGb ?: 0.0) - usedMemGb - strayMemGb
     val hourly: Double get() = flavor?.let { if (record.driftwood) it.lowPrice ?: it.hourly else it.hourly } ?: 0.0
+
+    /** Services stay for long: while one is here, the machine is paid for anyway. */
+    val held: Boolean get() = placements.values.any { it.job.spec.service }
     val usable: Boolean get() = trusted && retirement == null && !returning && flavor != null
 
     fun add(placement: Placement) {
