--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -99,6 +99,9 @@
     /** What the watch told of jobs while the slice was being read. */
     private val early = LinkedHashMap<String, Pair<RefRecord?, Long>>()
     private val outbox = LinkedHashMap<Machine, MutableList<Order>>()
+
+    /** For whom a placement is being stopped: that many tasks of the job need no other victim. */
+    private val preemptedFor = HashMap<Placement, Job>()
     private var attempts = 0L
     private var placeWanted = false
     private var lastCharged = 0L
@@ -289,7 +292,7 @@
     /** There is evidence that the attempt is over. */
     private fun finish(placement: Placement, done: Boolean) {
         val job = placement.job
-        if (placement.stopReason == StopReason.PREEMPTED) job.preempting--
+        preemptedFor.remove(placement)?.let { it.preempting-- }
         job.remove(placement, done)
         count(placement, -1)
         if (placement.machine.placements.isEmpty()) placement.machine.emptySince = clock.now()
@@ -653,7 +656,8 @@
                 for (victim in victims) {
                     log.info("{}: yields to {} on {}", victim.id, job.spec.ref, machine.name)
                     stop(victim, StopReason.PREEMPTED)
-                    victim.job.preempting++
+                    job.preempting++
+                    preemptedFor[victim] = job
                 }
             }
         }
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/SocketTest.kt
@@ -0,0 +1,216 @@
+package io.reedmast
+
+import com.sun.net.httpserver.HttpServer
+import io.reedmast.app.Clock
+import io.reedmast.app.Controller
+import io.reedmast.app.Desk
+import io.reedmast.app.FrontDoor
+import io.reedmast.app.Node
+import io.reedmast.app.RealOutward
+import io.reedmast.app.Timings
+import io.reedmast.app.Watches
+import io.reedmast.peers.PeerClient
+import io.reedmast.peers.PeerServer
+import io.reedmast.peers.Progress
+import io.reedmast.settings.Settings
+import io.reedmast.settings.Tuning
+import io.reedmast.state.StateClient
+import io.reedmast.wire.Caller
+import io.reedmast.wire.Fields
+import io.reedmast.wire.Tree
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import java.net.HttpURLConnection
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.URI
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Executors
+
+/** The real server and the real clients on loopback, against a small stand-in for state service and cloud. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class SocketTest {
+    private object SystemClock : Clock {
+        override fun now(): Long = System.nanoTime() / 1_000_000
+
+        override fun wall(): Long = System.currentTimeMillis()
+    }
+
+    private val stored = HashMap<String, Pair<Any?, Long>>()
+    private var epoch = 1L
+    private var front = 0
+    private val backend = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50)
+    private val backendThreads = Executors.newCachedThreadPool()
+
+    private fun freePort() = ServerSocket(0).use { it.localPort }
+
+    @BeforeAll
+    fun start() {
+        backend.executor = backendThreads
+        backend.createContext("/") { exchange ->
+            val path = exchange.requestURI.path
+            val body = exchange.requestBody.readAllBytes()
+            val (status, answer) = serve(
+                exchange.requestMethod,
+                path,
+                exchange.requestURI.query.orEmpty(),
+                if (body.isEmpty()) emptyMap() else Tree.readCbor(body),
+            )
+            val bytes = Tree.writeCbor(answer)
+            exchange.sendResponseHeaders(status, bytes.size.toLong())
+            exchange.responseBody.use { it.write(bytes) }
+        }
+        backend.start()
+        front = freePort()
+        val text = Files.readString(Path.of("deploy/rehearsal.json"))
+            .replace("18391", front.toString()).replace("18392", freePort().toString())
+            .replace("18393", backend.address.port.toString()).replace("18394", backend.address.port.toString())
+        val settings = Settings.parse(Tree.readJson(text.toByteArray()))
+        val desk = Desk(SystemClock, 100)
+        val client = StateClient(settings.state, settings.stateLimits, 1, Caller(500, 1000))
+        val out = RealOutward(settings, desk, client)
+        val timings = Timings(SystemClock)
+        val node = Node(desk, Controller(settings, Tuning(), SystemClock, out, "test"), timings)
+        FrontDoor(settings, node, timings).start()
+        out.start()
+        Watches(client, SystemClock, node).start()
+        RealOutward.startThread("test-desk") { desk.run(50, node::tick) }
+        val patience = System.nanoTime() + 10_000_000_000L
+        while (call("GET", "/healthz", null).first != 200 && System.nanoTime() < patience) Thread.sleep(50)
+    }
+
+    @AfterAll
+    fun stop() {
+        backend.stop(0)
+        backendThreads.shutdownNow()
+    }
+
+    @Synchronized
+    private fun commit(body: Fields): Pair<Int, Fields> {
+        val guards = (body["when"] as List<*>).map { it as Map<*, *> }
+        val failed = guards.filter { (stored[it["path"]]?.second ?: 0L) != (it["stamp"] as Number).toLong() }.map { it["path"] }
+        if (failed.isNotEmpty()) return 409 to mapOf("failed" to failed, "epoch" to epoch)
+        epoch++
+        for (write in (body["writes"] as List<*>).map { it as Map<*, *> }) {
+            if (write["put"] != null) stored[write["put"] as String] = write["v"] to epoch else stored.remove(write["delete"] as String)
+        }
+        return 200 to mapOf("epoch" to epoch)
+    }
+
+    private fun serve(method: String, path: String, query: String, body: Fields): Pair<Int, Fields> = when {
+        path == "/commit" -> commit(body)
+
+        path == "/leases" -> 200 to mapOf("holding" to 1)
+
+        path.startsWith("/leases/") -> 200 to emptyMap()
+
+        path == "/follow" -> {
+            Thread.sleep(100)
+            200 to mapOf("epoch" to epoch, "log" to emptyList<Any>())
+        }
+
+        path == "/kv" -> synchronized(this) {
+            val prefix = query.substringAfter("prefix=").substringBefore('&')
+            val pairs = stored.filterKeys { it.startsWith(prefix) }.map { mapOf("path" to it.key, "v" to it.value.first, "stamp" to it.value.second) }
+            200 to mapOf("pairs" to pairs, "more" to false, "epoch" to epoch)
+        }
+
+        path.startsWith("/kv/") -> synchronized(this) {
+            val key = path.removePrefix("/kv/")
+            stored[key]?.let { 200 to mapOf("path" to key, "v" to it.first, "stamp" to it.second) } ?: (404 to mapOf("epoch" to epoch))
+        }
+
+        path == "/flavors" -> 200 to mapOf(
+            "builds" to listOf(
+                mapOf(
+                    "label" to "m", "cpus" to 4, "gpus" to 0, "memGb" to 8, "localGb" to 50, "pullGbPerS" to 1.0, "hourly" to 1.0, "startupS" to 9,
+                    "yards" to listOf("here"),
+                ),
+            ),
+        )
+
+        method == "GET" -> 200 to mapOf("hosts" to emptyList<Any>(), "more" to false)
+
+        else -> 503 to mapOf("error" to "no capacity")
+    }
+
+    private fun call(method: String, path: String, body: ByteArray?): Pair<Int, ByteArray> {
+        val connection = URI.create("http://127.0.0.1:$front$path").toURL().openConnection() as HttpURLConnection
+        connection.requestMethod = method
+        connection.connectTimeout = 3000
+        connection.readTimeout = 6000
+        if (body != null) {
+            connection.doOutput = true
+            connection.outputStream.use { it.write(body) }
+        }
+        val status = connection.responseCode
+        val stream = if (status >= 400) connection.errorStream else connection.inputStream
+        return status to (stream?.use { it.readAllBytes() } ?: ByteArray(0))
+    }
+
+    private val job = mapOf(
+        "ref" to "wk-000001", "lot" to "l", "crew" to "nobody", "shape" to "array", "rank" to "standard", "pieces" to 1, "cpus" to 1, "gpus" to 0,
+        "memGb" to 1, "bundle" to "i", "sizeGb" to 1, "driftwood" to false, "guessS" to 5, "markS" to 0, "stowS" to 0,
+    )
+
+    private fun submit(fields: Fields) = call("POST", "/submissions", Tree.writeCbor(fields))
+
+    @Test
+    fun `a job is accepted once, known from then on, and stays cancelled`() {
+        assertEquals(201, submit(job).first)
+        assertEquals(200, submit(job).first)
+        assertEquals(200, call("GET", "/submissions/wk-000001", null).first)
+        val aborted = call("POST", "/submissions/wk-000001/abort", ByteArray(0))
+        assertEquals("aborted", Tree.readCbor(aborted.second)["stage"])
+        assertEquals("aborted", Tree.readCbor(submit(job).second)["stage"])
+        assertEquals("aborted", Tree.readCbor(call("GET", "/submissions/wk-000001", null).second)["stage"])
+    }
+
+    @Test
+    fun `what cannot be taken gets the status that says so`() {
+        val cases = listOf(
+            400 to { call("POST", "/submissions", "hello".toByteArray()).first },
+            400 to { submit(job - "cpus").first },
+            400 to { call("POST", "/checkin", Tree.writeCbor(mapOf("host" to 1))).first },
+            422 to { submit(job + ("ref" to "wk-000002") + ("crew" to "strangers")).first },
+            422 to { submit(job + ("ref" to "wk-000002") + ("cpus" to 3)).first },
+            422 to { submit(job + ("ref" to "wk-000002") + ("memGb" to 9)).first },
+            404 to { call("GET", "/submissions/wk-999999", null).first },
+            404 to { call("POST", "/submissions/wk-999999/abort", ByteArray(0)).first },
+            404 to { call("GET", "/nothing", null).first },
+            405 to { call("GET", "/checkin", null).first },
+        )
+        for ((i, case) in cases.withIndex()) assertEquals(case.first, case.second(), "case $i")
+    }
+
+    @Test
+    fun `a body that is too large is refused, and the next request is served`() {
+        Socket("127.0.0.1", front).use { socket ->
+            socket.soTimeout = 5000
+            socket.getOutputStream().write("POST /submissions HTTP/1.1\r\nHost: x\r\nContent-Length: 10000000\r\n\r\n".toByteArray())
+            socket.getOutputStream().write(ByteArray(1000))
+            val line = socket.getInputStream().bufferedReader().readLine()
+            assertTrue(line.contains("413"), line)
+        }
+        assertEquals(404, call("GET", "/submissions/wk-999998", null).first)
+    }
+
+    @Test
+    fun `peers ask each other for progress, and get nothing for what is unknown or unreachable`() {
+        val address = InetSocketAddress("127.0.0.1", freePort())
+        val server = PeerServer(address, backendThreads) { if (it == "wk-1") Progress(3, 4) else null }
+        val listening = server.open()
+        backendThreads.execute { server.run(listening) }
+        val client = PeerClient(address)
+        assertEquals(Progress(3, 4), client.progress("wk-1"))
+        assertEquals(null, client.progress("wk-2"))
+        assertEquals(null, PeerClient(InetSocketAddress("127.0.0.1", freePort())).progress("wk-1"))
+    }
+}
