--- a/src/main/kotlin/io/reedmast/app/Main.kt
+++ b/src/main/kotlin/io/reedmast/app/Main.kt
@@ -34,7 +34,12 @@
     private val protectCap by seconds("protect-cap", Tuning().protectCapS, "Longest protected minimum run time")
     private val resize by seconds("resize", Tuning().resizeS, "How often slices are resized")
     private val totals by seconds("totals", Tuning().totalsS, "How often team totals are written")
-    private val idle by seconds("idle", Tuning().idleS, "How long an empty machine is kept")
+    private val idle by option(
+        "--idle-s",
+        envvar = "REEDMAST_IDLE_S",
+        help = "How long an empty ordinary machine is kept, in seconds (default: worked out from boot and fetch times)",
+        metavar = "SECONDS",
+    ).double().check("must be above 0") { it > 0 && it.isFinite() }
     private val rehearse by option(help = "Stop after this time: the build records the classes that start-up loads", metavar = "SECONDS").double()
 
     private fun seconds(name: String, value: Double, help: String) =
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -935,10 +935,20 @@
 
     private fun idle(machine: Machine, now: Long): Boolean =
         machine.placements.isEmpty() && machine.everHeard && now - machine.emptySince > patience(machine) &&
-            now - activeAt > tuning.idleS * 1000 && !spareNeeded(machine, now)
+            now - activeAt > patience(machine) && !spareNeeded(machine, now)
 
-    /** How long an empty machine is kept, in milliseconds: a cheap one is kept longer than it takes to boot another. */
-    private fun patience(machine: Machine): Double = tuning.idleS * 1000 * if (machine.record.driftwood) SPOT_PATIENCE else ORDINARY_PATIENCE
+    /**
+     * How long an empty machine is kept, in milliseconds.
+     *
+     * What is lost with it is its boot and its images; a boot is partly hidden, since machines are rented as work comes.
+     * Spot machines cost a fraction, and are kept longer by the same measure.
+     */
+    private fun patience(machine: Machine): Double {
+        val flavor = machine.flavor ?: return 0.0
+        val image = if (jobs.isEmpty()) 0.0 else jobs.values.sumOf { it.spec.sizeGb } / jobs.size
+        val ordinary = tuning.idleS ?: maxOf(flavor.startupS * BOOT_WORTH + image / flavor.pullGbPerS, settings.workers.reportS * KEPT_REPORTS)
+        return ordinary * 1000 * if (machine.record.driftwood) SPOT_PATIENCE else 1.0
+    }
 
     /** Whether the slice would have too little free room for the services that arrive while a machine boots. */
     private fun spareNeeded(machine: Machine, now: Long): Boolean {
@@ -1095,8 +1105,9 @@
 
     private companion object {
         const val LATE_WITHOUT_DUE_MS = 120_000L
-        const val SPOT_PATIENCE = 2.0
-        const val ORDINARY_PATIENCE = 0.5
+        const val SPOT_PATIENCE = 4.0
+        const val KEPT_REPORTS = 4
+        const val BOOT_WORTH = 0.25
         const val GREET_AFTER_MS = 2_500L
         const val GREET_EVERY_MS = 4_000L
         const val GREET_FOR_MS = 30_000L
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -60,6 +60,7 @@
     private var claimingLeader = false
     private var claimingNode = false
     private var nodeKeyLease: Long? = null
+    private var claiming = false
     private val taking = BooleanArray(settings.slices)
     private val writing = BooleanArray(settings.slices)
     private val lastTaken = LongArray(settings.slices) { Long.MIN_VALUE / 2 }
@@ -320,8 +321,10 @@
     }
 
     private fun take(slice: SliceIndex) {
-        if (taking[slice.value]) return
+        if (taking[slice.value] || claiming) return
         taking[slice.value] = true
+        // Two takes at once would both want the next token.
+        claiming = true
         val now = clock.now()
         lastTaken[slice.value] = now
         val held = records[slice.value]
@@ -331,6 +334,7 @@
         val writes = listOf(Write.Put(Keys.slice(slice.value), record.toFields()), Write.Put(Keys.TOKEN, mapOf("token" to fresh)))
         out.commit(
             Change(guards, writes) { outcome ->
+                claiming = false
                 if (outcome is Outcome.Applied) {
                     owners[slice.value]?.dropped = true
                     owners[slice.value] = null
@@ -340,7 +344,9 @@
                     owners[slice.value] = owner
                     read(owner, record, outcome.epoch)
                 } else {
+                    // Mostly another node took the token we wanted. After a restart of all, every second counts.
                     taking[slice.value] = false
+                    lastTaken[slice.value] = clock.now() - RETAKE_MS + RETRY_TAKE_MS * (settings.self.value + 1)
                     refresh(slice)
                     refreshToken()
                 }
@@ -495,6 +501,7 @@
         const val FENCE_SLACK_S = 2.0
         const val TURN_MS = 700L
         const val SETTLED_MS = 8_000L
+        const val RETRY_TAKE_MS = 100L
         const val RETAKE_MS = 3_000L
     }
 }
--- a/src/main/kotlin/io/reedmast/settings/Tuning.kt
+++ b/src/main/kotlin/io/reedmast/settings/Tuning.kt
@@ -10,6 +10,6 @@
     val resizeS: Double = 3.0,
     /** How often owners write team totals. */
     val totalsS: Double = 5.0,
-    /** How long an empty machine is kept before it is returned. */
-    val idleS: Double = 30.0,
+    /** How long an empty ordinary machine is kept before it is returned; null: worked out from boot and fetch times. */
+    val idleS: Double? = null,
 )
