--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -847,6 +847,7 @@
         charge(now)
         greet(now)
         watchMachines(now)
+        sendReturns()
         if (jobs.values.any { it.waitingCount > 0 && it.notBefore in 1..now }) placeWanted = true
         if (gone.isNotEmpty()) records.removeHosts(index, gone)
         writeTotals(now)
@@ -981,24 +982,43 @@
     private fun giveBack(machine: Machine) {
         if (machine.returning || !fresh()) return
         machine.returning = true
-        out.giveBack(listOf(machine.name)) { confirmed ->
+        toReturn.add(machine)
+    }
+
+    /**
+     * One call for all machines that are to go, and one call at a time.
+     *
+     * A call for each made silent machines wait, with the replicas on them, behind idle ones for this node's part of the
+     * cloud's limit.
+     */
+    private fun sendReturns() {
+        if (returnInFlight || toReturn.isEmpty() || !fresh()) return
+        val leaving = toReturn.take(MOST_RETURNED)
+        toReturn.removeAll(leaving.toSet())
+        returnInFlight = true
+        out.giveBack(leaving.map { it.name }) { confirmed ->
+            returnInFlight = false
             if (dropped) return@giveBack
-            if (!confirmed) {
-                machine.returning = false
-                return@giveBack
-            }
-            machine.placements.values.toList().forEach {
-                log.info("{} try {}: gone with {}", it.id, it.attempt, machine.name)
-                finish(it, done = false)
-            }
-            jobs.values.forEach { it.failedOn.remove(machine) }
-            machines.remove(machine.name)
-            if (record.hosts.any { it.name == machine.name }) gone.add(machine.name)
-            records.removeHosts(index, gone)
+            leaving.forEach { if (confirmed) returned(it) else it.returning = false }
+            if (confirmed) records.removeHosts(index, gone)
             settle()
         }
     }
 
+    /** The cloud has confirmed that the machine and all that was on it are gone. */
+    private fun returned(machine: Machine) {
+        machine.placements.values.toList().forEach {
+            log.info("{} try {}: gone with {}", it.id, it.attempt, machine.name)
+            finish(it, done = false)
+        }
+        jobs.values.forEach { it.failedOn.remove(machine) }
+        machines.remove(machine.name)
+        if (record.hosts.any { it.name == machine.name }) gone.add(machine.name)
+    }
+
+    private val toReturn = LinkedHashSet<Machine>()
+    private var returnInFlight = false
+
     /** Hosts that are returned but may still stand in the slice record. */
     private val gone = HashSet<String>()
 
@@ -1106,6 +1126,7 @@
     private companion object {
         const val LATE_WITHOUT_DUE_MS = 120_000L
         const val SPOT_PATIENCE = 4.0
+        const val MOST_RETURNED = 100
         const val KEPT_REPORTS = 4
         const val BOOT_WORTH = 0.25
         const val GREET_AFTER_MS = 2_500L
@@ -1122,7 +1143,7 @@
         const val FIRST_RETRY_MS = 2_000L
         const val MAX_RETRY_MS = 30_000L
         const val REFUSED_RETRY_MS = 500L
-        const val SILENT_REPORTS = 4.0
+        const val SILENT_REPORTS = 3.0
         const val LOST_BOOT_FACTOR = 2.5
         const val LOST_BOOT_S = 5.0
         const val ARRIVALS_WINDOW_MS = 180_000L
