--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -882,11 +882,19 @@
         return share * flavor.cpus
     }
 
+    /** When this node last was unable to answer workers or to decide: silence before that says nothing. */
+    private var deafUntil = 0L
+
     private fun watchMachines(now: Long) {
-        if (!fresh()) return
-        val silentAfter = (settings.workers.reportS * 1000 * SILENT_REPORTS).toLong()
+        if (!fresh()) {
+            // Workers are turned away during a long outage; after one, all of them would seem to have been silent.
+            deafUntil = now
+            return
+        }
+        val reportMs = settings.workers.reportS * 1000
+        val silentAfter = (reportMs * SILENT_REPORTS).toLong()
         val heard = machines.values.filter { it.everHeard }
-        val silent = heard.filter { now - maxOf(it.lastHeardAt, activeAt + silentAfter / 2) > silentAfter }
+        val silent = heard.filter { now - maxOf(it.lastHeardAt, activeAt + silentAfter / 2, deafUntil + silentAfter) > silentAfter }
         // If most machines are silent at once, it is rather this node that hears nothing.
         val patience = if (silent.size * 2 > heard.size && heard.size > 1) (settings.workers.leaseS * 1000).toLong() else 0L
         for (machine in silent) {
