--- a/src/main/kotlin/io/reedmast/app/Main.kt
+++ b/src/main/kotlin/io/reedmast/app/Main.kt
@@ -1,9 +1,11 @@
 package io.reedmast.app
 
+import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
-import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.parameters.options.check
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
@@ -21,6 +23,9 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
+/** Flags or settings that cannot be used. */
+private const val EXIT_USAGE = 2
+
 private object SystemClock : Clock {
     override fun now(): Long = System.nanoTime() / 1_000_000
 
@@ -61,7 +66,7 @@
                 Settings.load(Path.of(config))
             } catch (e: SettingsException) {
                 System.err.println("reedmast: ${e.message}")
-                throw ProgramResult(2)
+                throw ProgramResult(EXIT_USAGE)
             }
         val log = LoggerFactory.getLogger("main")
         val desk = Desk(SystemClock, MAX_QUEUED)
@@ -79,7 +84,7 @@
             RealOutward.startThread("peers") { peers.run(listening) }
         } catch (e: IOException) {
             System.err.println("reedmast: cannot listen on front ${settings.front} or cluster_listen ${settings.clusterListen}: ${e.message}")
-            throw ProgramResult(2)
+            throw ProgramResult(EXIT_USAGE)
         }
         out.start()
         Watches(client, SystemClock, node).start()
@@ -115,5 +120,13 @@
 
 fun main(args: Array<String>) {
     configureLogging()
-    Reedmast().main(args)
+    val command = Reedmast()
+    try {
+        command.parse(args)
+    } catch (e: CliktError) {
+        val text = command.getFormattedHelp(e)
+        // The core of Clikt neither exits nor tells its two streams apart by itself.
+        if (text != null) if (e.printError) System.err.println(text) else println(text)
+        exitProcess(if (e is UsageError) EXIT_USAGE else e.statusCode)
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/CommandLineTest.kt
@@ -0,0 +1,30 @@
+package io.reedmast
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The program as an operator starts it: the exit code once was 0 whatever went wrong. */
+class CommandLineTest {
+    private fun run(vararg args: String): Pair<Int, String> {
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val errors = Files.createTempFile("errors", ".txt")
+        val process = ProcessBuilder(listOf(java, "-cp", System.getProperty("java.class.path"), "io.reedmast.app.MainKt") + args)
+            .redirectError(errors.toFile()).redirectOutput(ProcessBuilder.Redirect.DISCARD).start()
+        val code = process.waitFor()
+        return code to Files.readString(errors).also { Files.delete(errors) }
+    }
+
+    @Test
+    fun `flags and settings that cannot be used end with 2 and say why on standard error`() {
+        val flag = run("--bogus")
+        assertEquals(2, flag.first)
+        assertTrue("--bogus" in flag.second && "Usage" in flag.second, flag.second)
+        val file = run("--config", "no/such/file")
+        assertEquals(2, file.first)
+        assertEquals(1, file.second.trim().lines().size, file.second)
+        assertEquals(0, run("--version").first)
+    }
+}
