--- a/src/test/kotlin/io/reedmast/SocketTest.kt
+++ b/src/test/kotlin/io/reedmast/SocketTest.kt
@@ -45,6 +45,10 @@
 
     private val stored = HashMap<String, Pair<Any?, Long>>()
     private var epoch = 1L
+
+    /** The next transaction that names this key is applied, and its answer lost. */
+    @Volatile
+    private var loseAnswerOf: String? = null
     private var front = 0
     private val backend = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50)
     private val backendThreads = Executors.newCachedThreadPool()
@@ -63,6 +67,11 @@
                 exchange.requestURI.query.orEmpty(),
                 if (body.isEmpty()) emptyMap() else Tree.readCbor(body),
             )
+            if (path == "/commit" && loseAnswerOf?.let { it in String(body) } == true) {
+                loseAnswerOf = null
+                exchange.close()
+                return@createContext
+            }
             val bytes = Tree.writeCbor(answer)
             exchange.sendResponseHeaders(status, bytes.size.toLong())
             exchange.responseBody.use { it.write(bytes) }
@@ -173,6 +182,13 @@
         assertEquals("aborted", Tree.readCbor(call("GET", "/submissions/wk-000001", null).second)["stage"])
     }
 
+    @Test
+    fun `a transaction whose answer was lost is known to have been applied`() {
+        loseAnswerOf = "ref/wk-000003"
+        assertEquals(201, submit(job + ("ref" to "wk-000003")).first)
+        assertEquals(null, loseAnswerOf)
+    }
+
     @Test
     fun `what cannot be taken gets the status that says so`() {
         val cases = listOf(
