--- a/src/test/kotlin/io/reedmast/ScenarioTest.kt
+++ b/src/test/kotlin/io/reedmast/ScenarioTest.kt
@@ -95,7 +95,10 @@
                 "lose-answers" -> world.workers[words[1]]?.answersLost = words[2] == "on"
                 "hang" -> world.workers.getValue(words[1]).hang((words[2].toDouble() * 1000).toLong())
                 "late-direct" -> world.nodes.forEach { it.lateDirectMs = (words[1].toDouble() * 1000).toLong() }
-                "late-commit" -> world.nodes.first { it.label == words[1] }.lateCommitMs = (words[2].toDouble() * 1000).toLong()
+                "late-commit" -> world.nodes.first { it.label == words[1] }.run {
+                    lateCommitMs = (words[2].toDouble() * 1000).toLong()
+                    lateCommitOf = words[3]
+                }
                 "cloud-out" -> world.cloudOut = words[1] == "on"
                 "expect" -> expect(words.drop(1), args)
                 else -> error("unknown verb ${words[0]}")
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -130,8 +130,9 @@
         /** Sends of the next direct commands arrive this much later, and their answers are lost. */
         var lateDirectMs = 0L
 
-        /** The next transaction is applied this much later, whatever has become of the node. */
+        /** The next transaction that writes [lateCommitOf] is applied this much later, whatever has become of the node. */
         var lateCommitMs = 0L
+        var lateCommitOf = ""
         var life = 0
         var controller: Controller? = null
         private var watchedTo = 0L
@@ -192,7 +193,7 @@
             private val reachable: Boolean get() = !stateCut && state.up && life == of
 
             override fun commit(change: Change, refusable: Boolean): Boolean {
-                if (lateCommitMs > 0L) {
+                if (lateCommitMs > 0L && change.writes.any { lateCommitOf in it.path }) {
                     after(lateCommitMs) {
                         val outcome = state.commit(change)
                         reply(3, change.done) { outcome }
