--- a/src/main/kotlin/io/reedmast/app/Desk.kt
+++ b/src/main/kotlin/io/reedmast/app/Desk.kt
@@ -55,9 +55,13 @@
         }
     }
 
+    private var served = 0
+
     private fun next(nextTick: Long): (() -> Unit)? {
         synchronized(lock) {
             while (true) {
+                // Now and then the last come first: under lasting overload no question of a user would be answered at all.
+                if (++served % LAST_FIRST_EACH == 0) queues.asReversed().firstNotNullOfOrNull { it.poll() }?.let { return it }
                 queues[Urgency.REPORT.ordinal].poll()?.let { return it }
                 val wait = nextTick - clock.now()
                 if (wait <= 0) return null
@@ -67,4 +71,8 @@
             }
         }
     }
+
+    private companion object {
+        const val LAST_FIRST_EACH = 8
+    }
 }
--- a/src/main/kotlin/io/reedmast/app/FrontDoor.kt
+++ b/src/main/kotlin/io/reedmast/app/FrontDoor.kt
@@ -125,10 +125,10 @@
         val MISDIRECTED = Status(421, "Misdirected Request")
         const val MAX_BODY = 64 * 1024
         const val BACKLOG = 128
-        const val THREADS = 20
+        const val THREADS = 32
         const val QUEUED = 200
-        const val SUBMISSIONS_AT_ONCE = 7
-        const val QUESTIONS_AT_ONCE = 7
+        const val SUBMISSIONS_AT_ONCE = 8
+        const val QUESTIONS_AT_ONCE = 14
         const val WORKER_PATIENCE_MS = 3_000L
         const val USER_PATIENCE_MS = 4_500L
         const val QUESTION_PATIENCE_MS = 1_900L
--- a/src/main/kotlin/io/reedmast/app/Main.kt
+++ b/src/main/kotlin/io/reedmast/app/Main.kt
@@ -79,7 +79,7 @@
         val node = Node(desk, controller, timings)
         try {
             FrontDoor(settings, node, timings).start()
-            val peers = PeerServer(settings.clusterListen, RealOutward.pool("peer-in", settings.members.size * 2, settings.members.size), node::progress)
+            val peers = PeerServer(settings.clusterListen, RealOutward.pool("peer-in", settings.members.size * 2, settings.members.size), node::peersTold)
             val listening = peers.open()
             RealOutward.startThread("peers") { peers.run(listening) }
         } catch (e: IOException) {
@@ -102,7 +102,7 @@
 
     private companion object {
         const val MAX_QUEUED = 256
-        const val TICK_MS = 250L
+        const val TICK_MS = 25L
         const val STATE_CONNECT_MS = 800
         const val STATE_READ_MS = 2_500
     }
--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -13,9 +13,6 @@
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.Order
 import io.reedmast.wire.Report
-import java.util.concurrent.CompletableFuture
-import java.util.concurrent.TimeUnit
-import java.util.concurrent.TimeoutException
 
 /** The answer to a worker's report. */
 sealed interface WorkerAnswer {
@@ -36,10 +33,18 @@
     private val leader = Leader(settings, tuning, clock, out, cluster, { flavors }, charterPrefix)
     private val jobs = JobDoor(settings, clock, out, cluster) { flavors }
 
+    private var tickDue = 0L
+
+    /** Called every few milliseconds: decisions that are due, and at times the slower duties. */
     fun tick() {
-        askFlavors()
-        cluster.tick()
-        leader.tick()
+        val now = clock.now()
+        if (now >= tickDue) {
+            tickDue = now + TICK_MS
+            askFlavors()
+            cluster.tick()
+            leader.tick()
+        }
+        cluster.pump()
     }
 
     private fun askFlavors() {
@@ -53,10 +58,7 @@
             } else {
                 flavorsDue = clock.now() + FLAVORS_EVERY_MS
                 flavors = found.associateBy { it.label }
-                cluster.owned().forEach {
-                    it.flavorsChanged()
-                    it.settle()
-                }
+                cluster.owned().forEach { it.flavorsChanged() }
             }
         }
     }
@@ -74,10 +76,9 @@
         // While the slice is still being read, the answer shows the worker our token and renews its lease.
         if (!owner.active) return WorkerAnswer.Orders(cluster.records[slice.value]?.record?.token ?: 0L, emptyList())
         val orders = owner.checkin(report)
-        owner.settle()
         // The worker would drop our answer and stay here until its lease is over: it must look for the slice's new owner.
-        if (report.baton > owner.record.token) return WorkerAnswer.Elsewhere(null)
-        return WorkerAnswer.Orders(owner.record.token, orders)
+        if (report.baton > owner.token) return WorkerAnswer.Elsewhere(null)
+        return WorkerAnswer.Orders(owner.token, orders)
     }
 
     fun submit(spec: JobSpec, answer: (UserAnswer) -> Unit) = jobs.submit(spec, answer)
@@ -86,11 +87,12 @@
 
     fun abort(ref: String, answer: (UserAnswer) -> Unit) = jobs.abort(ref, answer)
 
-    fun progress(ref: String): Progress? = cluster.owned().firstNotNullOfOrNull { it.progress(ref) }
+    fun peersTold(progress: List<Progress>) = cluster.jobs.noteProgress(progress)
 
     fun healthy(): Boolean = cluster.ready && cluster.fresh() && flavors.isNotEmpty()
 
     private companion object {
+        const val TICK_MS = 250L
         const val FLAVORS_EVERY_MS = 60_000L
         const val FLAVORS_RETRY_MS = 2_000L
     }
@@ -117,26 +119,16 @@
 
     fun abort(ref: String, answer: (UserAnswer) -> Unit): Boolean = desk.offer(Urgency.SUBMISSION) { controller.abort(ref, answer) }
 
-    /** What this node knows of a job, for a peer that waits for the answer; null if it has too much to do. */
-    fun progress(ref: String): Progress? {
-        val answer = CompletableFuture<Progress?>()
-        if (!desk.offer(Urgency.SUBMISSION) { answer.complete(controller.progress(ref)) }) return null
-        return try {
-            answer.get(PEER_PATIENCE_MS, TimeUnit.MILLISECONDS)
-        } catch (e: TimeoutException) {
-            null
-        }
+    /** What a peer tells is for display only: it is dropped while there is too much to do. */
+    fun peersTold(progress: List<Progress>) {
+        desk.offer(Urgency.SUBMISSION) { controller.peersTold(progress) }
     }
 
     fun snapshot(items: List<Item>, askedAt: Long) = desk.post { controller.cluster.snapshot(items, askedAt) }
 
     fun clusterEvents(events: List<Event>, askedAt: Long) = desk.post { controller.cluster.clusterEvents(events, askedAt) }
 
-    fun refEvents(events: List<Event>, askedAt: Long) = desk.post { controller.cluster.refEvents(events, askedAt) }
+    fun jobsSnapshot(items: List<Item>, epoch: Long, askedAt: Long) = desk.post { controller.cluster.jobsSnapshot(items, epoch, askedAt) }
 
-    fun refsLost() = desk.post { controller.cluster.refsLost() }
-
-    private companion object {
-        const val PEER_PATIENCE_MS = 400L
-    }
+    fun jobEvents(events: List<Event>, askedAt: Long) = desk.post { controller.cluster.jobEvents(events, askedAt) }
 }
--- a/src/main/kotlin/io/reedmast/app/Outward.kt
+++ b/src/main/kotlin/io/reedmast/app/Outward.kt
@@ -39,12 +39,17 @@
     /** False while the state service is known not to take changes. */
     val stateAnswers: Boolean
 
+    /** How many changes this node's part of the state service's limit allows now, and that as a part of a second's worth. */
+    fun writeRoom(): Double
+
+    fun writeFullness(): Double
+
     fun get(path: String, done: (Fetched) -> Unit)
 
     fun list(prefix: String, done: (List<Item>?) -> Unit)
 
-    /** Asks another node, by its label, how far a job is. */
-    fun progress(label: String, ref: String, done: (Progress?) -> Unit)
+    /** Tells the other nodes how far jobs are; nothing depends on its arrival. */
+    fun tellPeers(progress: List<Progress>)
 
     /** Sends commands to a worker directly. */
     fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit)
--- a/src/main/kotlin/io/reedmast/app/RealOutward.kt
+++ b/src/main/kotlin/io/reedmast/app/RealOutward.kt
@@ -36,7 +36,7 @@
     private val directs = pool("direct", DIRECT_THREADS, DIRECTS_QUEUED)
     private val cloudCalls = pool("cloud", 2, CLOUD_QUEUED)
     private val peerCalls = pool("peer", settings.members.size, PEER_CALLS_QUEUED)
-    private val peers = settings.members.filter { it.label != settings.label }.associate { it.label to PeerClient(it.address) }
+    private val peers = settings.members.filter { it.label != settings.label }.map { PeerClient(it.address) }
     private val workerCaller = Caller(WORKER_CONNECT_MS, WORKER_READ_MS)
     private val cloudCaller = Caller(CLOUD_CONNECT_MS, CLOUD_READ_MS)
     private val cloudLimit = RateLimiter.create(settings.cloudLimits.requestsPerS / settings.members.size)
@@ -53,7 +53,11 @@
 
     override fun list(prefix: String, done: (List<Item>?) -> Unit) = call(reads, { client.list(prefix)?.first }, null, done)
 
-    override fun progress(label: String, ref: String, done: (Progress?) -> Unit) = call(peerCalls, { peers[label]?.progress(ref) }, null, done)
+    override fun writeRoom(): Double = client.budget.room()
+
+    override fun writeFullness(): Double = client.budget.fullness()
+
+    override fun tellPeers(progress: List<Progress>) = peers.forEach { peer -> call(peerCalls, { peer.tell(progress) }, false) {} }
 
     override fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit) {
         val body = mapOf("baton" to baton, "tenure" to tenure, "orders" to orders.map { it.toFields() })
@@ -169,16 +173,16 @@
     }
 
     companion object {
-        private const val COMMIT_THREADS = 2
+        private const val COMMIT_THREADS = 3
         private const val MAX_SUBMISSIONS_QUEUED = 64
         private const val READ_THREADS = 4
         private const val READS_QUEUED = 200
-        private const val DIRECT_THREADS = 10
-        private const val DIRECTS_QUEUED = 100
+        private const val DIRECT_THREADS = 16
+        private const val DIRECTS_QUEUED = 400
         private const val CLOUD_QUEUED = 40
         private const val PEER_CALLS_QUEUED = 40
         private const val WORKER_CONNECT_MS = 800
-        private const val WORKER_READ_MS = 2500
+        private const val WORKER_READ_MS = 2000
         private const val CLOUD_CONNECT_MS = 2000
         private const val CLOUD_READ_MS = 6000
         private const val CLOUD_PATIENCE_S = 10L
--- a/src/main/kotlin/io/reedmast/app/Watches.kt
+++ b/src/main/kotlin/io/reedmast/app/Watches.kt
@@ -3,13 +3,10 @@
 import io.reedmast.state.Keys
 import io.reedmast.state.StateClient
 import io.reedmast.state.Watched
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ThreadLocalRandom
 
 /** The two watches on the state service: on the cluster's few keys, and on the records under job ids. */
 class Watches(private val client: StateClient, private val clock: Clock, private val node: Node) {
-    private val firstEpoch = CompletableFuture<Long>()
-
     fun start() {
         RealOutward.startThread("watch-cluster", ::followCluster)
         RealOutward.startThread("watch-jobs", ::followJobs)
@@ -24,7 +21,6 @@
                 continue
             }
             node.snapshot(items, askedAt)
-            firstEpoch.complete(epoch)
             var after = epoch
             while (true) {
                 askedAt = clock.now()
@@ -40,28 +36,30 @@
         }
     }
 
+    /**
+     * The watch on jobs asks often: every question of a user waits for the next answer, and all that came before it share
+     * one request to the state service.
+     */
     private fun followJobs() {
-        var after = firstEpoch.get()
         while (true) {
-            val askedAt = clock.now()
-            when (val watched = client.follow(Keys.REFS, after, HOLD_MS)) {
-                is Watched.Events -> {
-                    node.refEvents(watched.events, askedAt)
+            var askedAt = clock.now()
+            val (items, epoch) = client.list(Keys.LIVE) ?: (null to 0L)
+            if (items == null) {
+                pause()
+                continue
+            }
+            node.jobsSnapshot(items, epoch, askedAt)
+            var after = epoch
+            while (true) {
+                val spare = askedAt + JOBS_EVERY_MS - clock.now()
+                if (spare > 0) Thread.sleep(spare)
+                askedAt = clock.now()
+                val watched = client.follow(Keys.JOBS, after, JOBS_HOLD_MS)
+                if (watched is Watched.TooOld) break
+                if (watched is Watched.Events) {
+                    node.jobEvents(watched.events, askedAt)
                     after = maxOf(after, watched.epoch)
-                }
-
-                is Watched.TooOld -> {
-                    // Asked before the slices are read again, so that nothing falls between.
-                    val epoch = client.list(Keys.CLUSTER)?.second
-                    if (epoch == null) {
-                        pause()
-                    } else {
-                        after = epoch
-                        node.refsLost()
-                    }
-                }
-
-                is Watched.Failed -> {
+                } else {
                     pause()
                 }
             }
@@ -72,6 +70,8 @@
 
     private companion object {
         const val HOLD_MS = 1_500
+        const val JOBS_EVERY_MS = 80L
+        const val JOBS_HOLD_MS = 80
         const val PAUSE_MS = 200L
     }
 }
--- a/src/main/kotlin/io/reedmast/fairshare/Usage.kt
+++ b/src/main/kotlin/io/reedmast/fairshare/Usage.kt
@@ -5,6 +5,7 @@
 import io.reedmast.wire.MalformedException
 import io.reedmast.wire.Rank
 import java.util.TreeMap
+import kotlin.math.roundToLong
 
 /**
  * Charged use of the teams of a slice over a sliding window, in buckets of time of day.
@@ -34,7 +35,7 @@
     }
 
     fun toFields(teams: Collection<TeamIndex>): Fields = teams.filter { it in charged }.associate { team ->
-        team.value.toString() to charged.getValue(team).flatMap { listOf(it.key, it.value) }
+        team.value.toString() to charged.getValue(team).flatMap { listOf(it.key, it.value.roundToLong()) }
     }
 
     /** Takes up stored totals in place of what is known of their teams. */
--- a/src/main/kotlin/io/reedmast/fleet/Leader.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Leader.kt
@@ -12,6 +12,7 @@
 import io.reedmast.wire.Flavor
 import io.reedmast.wire.ListedHost
 import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Reply
 import io.reedmast.wire.Report
 import io.reedmast.wire.amount
 import io.reedmast.wire.count
@@ -20,8 +21,8 @@
 import io.reedmast.workers.HostRecord
 import org.slf4j.LoggerFactory
 
-/** What an owner last wrote of its slice. */
-private class Totals(val slice: SliceIndex, val term: Long, val ratio: Double, val demand: List<Demand>, val idle: List<String>)
+/** What an owner last wrote of its slice; [hosts] is the stamp of the newest change to its machines that it knew. */
+private class Totals(val slice: SliceIndex, val hosts: Long, val ratio: Double, val demand: List<Demand>, val idle: List<String>)
 
 /** The slice that a machine is meant for, and the highest token that its worker has seen. */
 private data class Destination(val slice: SliceIndex, val seen: Long)
@@ -47,9 +48,11 @@
     private var resizeDue = 0L
     private val soldOutUntil = HashMap<Offer, Long>()
 
-    /** Terms of slices at the last change made here: older totals do not know of it yet. */
+    /** Stamps of the last change made here to slices' machines: older totals do not know of it yet. */
     private val outdated = HashMap<SliceIndex, Long>()
-    private val renting = HashSet<SliceIndex>()
+
+    /** Requests to the cloud on their way, by the slices they are for. */
+    private val renting = HashMap<SliceIndex, Int>()
 
     /** Slices that machines are on their way to, and until when that keeps the leader from renting for them. */
     private val moving = HashMap<SliceIndex, Long>()
@@ -96,7 +99,7 @@
         val value = item.value
         Totals(
             SliceIndex(item.path.removePrefix(Keys.TOTALS).toInt()),
-            value.count("term"),
+            value.count("hosts"),
             value.amount("ratio"),
             value.maps("demand").map { Demand.parse(it) },
             value.list("idle").filterIsInstance<String>(),
@@ -112,136 +115,178 @@
     /** Slices further below their share come first, for idle machines of other slices and for rented ones. */
     private fun serve(totals: List<Totals>) {
         val now = clock.now()
-        moving.entries.removeIf { it.value < now && renting.remove(it.key) }
-        val current = totals.filter { it.term >= (outdated[it.slice] ?: 0L) && it.slice !in renting }
+        moving.values.removeIf { it < now }
+        val current = totals.filter { it.hosts >= (outdated[it.slice] ?: 0L) && it.slice !in renting && it.slice !in moving && !awaits(it.slice) }
         val wanting = current.filter { it.demand.isNotEmpty() }.sortedBy { it.ratio }
         if (now >= resizeDue) {
             resizeDue = now + (tuning.resizeS * 1000).toLong()
             resize(wanting, totals)
         }
-        for (needy in wanting) rentFor(needy, now)
+        rent(wanting.filter { it.slice !in moving }, now)
     }
 
+    private fun awaits(slice: SliceIndex) = unassigned.values.any { it.slice == slice }
+
     /** Idle and booting machines of slices that want nothing go to slices that do, until their demand is met. */
     private fun resize(wanting: List<Totals>, totals: List<Totals>) {
         val givers = totals.filter { it.demand.isEmpty() && it.idle.isNotEmpty() }
         for (needy in wanting) {
             val left = needy.demand.associateWithTo(LinkedHashMap()) { it.count }
             for (giver in givers) {
-                val record = cluster.records[giver.slice.value]?.record ?: continue
+                val idle = giver.idle.toHashSet()
                 val given = ArrayList<String>()
-                for (host in record.hosts) {
-                    if (host.name !in giver.idle || host.name in record.leaving) continue
-                    val demand = left.entries.firstOrNull { it.value > 0 && suits(it.key, host) } ?: continue
+                for (host in cluster.hostsOf(giver.slice)) {
+                    if (host.name !in idle || cluster.isLeaving(giver.slice, host.name)) continue
                     val flavor = flavors()[host.build] ?: continue
-                    demand.setValue(demand.value - flavor.holds(demand.key.cpus, demand.key.gpus, demand.key.memGb))
+                    val demand =
+                        left.entries.firstOrNull { it.value > 0 && it.key.runsOn(host.build, host.yard, host.driftwood) && it.key.heldBy(flavor) > 0 }
+                            ?: continue
+                    demand.setValue(demand.value - demand.key.heldBy(flavor))
                     given.add(host.name)
                 }
                 if (given.isEmpty()) continue
-                log.info("slice {} gives {} to slice {}", giver.slice.value, given, needy.slice.value)
+                log.info("slice {} gives {} machines to slice {}", giver.slice.value, given.size, needy.slice.value)
                 cluster.markLeaving(giver.slice, given, needy.slice)
                 // Their room is not known to the needy slice before they have moved.
-                renting.add(needy.slice)
                 moving[needy.slice] = clock.now() + MOVE_MS
             }
         }
     }
 
-    private fun suits(demand: Demand, host: HostRecord): Boolean {
-        val flavor = flavors()[host.build] ?: return false
-        return (!host.driftwood || demand.driftwood) && (demand.builds == null || host.build in demand.builds) &&
-            (demand.yard == null || demand.yard == host.yard) && flavor.holds(demand.cpus, demand.gpus, demand.memGb) >= 1
-    }
+    /** What one slice gets of a request to the cloud. */
+    private class Part(val slice: SliceIndex, val count: Int)
 
-    private fun rentFor(needy: Totals, now: Long) {
-        val demand = needy.demand.first()
-        val (offer, count) =
-            shop(demand, flavors().values, { (soldOutUntil[it] ?: 0L) > now }, { yard ->
-                cluster.records.sumOf { held -> held?.record?.hosts?.count { it.yard == yard } ?: 0 }
-            }) ?: return
-        renting.add(needy.slice)
-        send(needy.slice, Rental("$charterPrefix-${++charters}", offer.build, offer.yard, offer.driftwood, minOf(count, MOST_AT_ONCE)), RENT_TRIES)
+    /**
+     * Rents for all slices and all that they want together: the cloud takes few calls, and up to [MOST_AT_ONCE] machines
+     * with each.
+     */
+    private fun rent(wanting: List<Totals>, now: Long) {
+        val parts = LinkedHashMap<Offer, ArrayList<Part>>()
+        val held = HashMap<String, Int>()
+        for (slice in cluster.records.indices) cluster.hostsOf(SliceIndex(slice)).forEach { held.merge(it.yard, 1, Int::plus) }
+        for (needy in wanting) {
+            for (demand in needy.demand) {
+                var left = demand
+                // Spread over zones: a zone that is cut off takes only its part with it.
+                while (left.count > 0) {
+                    val (offer, count) = shop(left, flavors().values, { (soldOutUntil[it] ?: 0L) > now }, { held[it] ?: 0 }) ?: break
+                    val zones = flavors().getValue(offer.build).yards.size
+                    val some = if (demand.yard != null || zones < 2) minOf(count, MOST_AT_ONCE) else minOf(count, maxOf(MIN_IN_A_ZONE, count / zones))
+                    held.merge(offer.yard, some, Int::plus)
+                    parts.getOrPut(offer) { ArrayList() }.add(Part(needy.slice, some))
+                    left = left.copy(count = left.count - some * left.heldBy(flavors().getValue(offer.build)))
+                }
+            }
+        }
+        for ((offer, shares) in parts.entries.take(MOST_OFFERS)) {
+            var room = MOST_AT_ONCE
+            val mine = ArrayList<Part>()
+            for (share in shares) {
+                val some = minOf(share.count, room)
+                if (some <= 0) break
+                room -= some
+                mine.add(Part(share.slice, some))
+            }
+            mine.mapTo(HashSet()) { it.slice }.forEach { renting.merge(it, 1, Int::plus) }
+            val rental = Rental("$charterPrefix-${++charters}", offer.build, offer.yard, offer.driftwood, MOST_AT_ONCE - room)
+            send(mine, offer, rental, RENT_TRIES)
+        }
     }
 
-    private fun send(slice: SliceIndex, rental: Rental, tries: Int) {
+    private fun send(shares: List<Part>, offer: Offer, rental: Rental, tries: Int) {
         out.rent(rental) { rented ->
             val now = clock.now()
-            val offer = Offer(rental.build, rental.yard, rental.driftwood)
-            when (rented) {
-                is Rented.Hosts -> {
-                    log.info(
-                        "rented {} of {} {} in {}{} for slice {}",
-                        rented.names.size,
-                        rental.count,
-                        rental.build,
-                        rental.yard,
-                        if (rental.driftwood) ", spot" else "",
-                        slice.value,
-                    )
-                    if (rented.names.size < rental.count) soldOutUntil[offer] = now + SOLD_OUT_MS
-                    rented.names.forEach { unassigned[HostRecord(it, rental.build, rental.yard, rental.driftwood)] = Destination(slice, 0L) }
-                    renting.remove(slice)
-                    assignLeftovers()
-                }
-
-                is Rented.NoCapacity -> {
-                    soldOutUntil[offer] = now + SOLD_OUT_MS
-                    renting.remove(slice)
-                }
-
-                is Rented.Failed -> {
-                    // The same name again: if the first copy was carried out after all, nothing more is rented.
-                    if (tries > 1 && cluster.leading) send(slice, rental, tries - 1) else renting.remove(slice)
+            if (rented is Rented.Failed && tries > 1 && cluster.leading) {
+                // The same name again: if the first copy was carried out after all, nothing more is rented.
+                send(shares, offer, rental, tries - 1)
+                return@rent
+            }
+            shares.mapTo(HashSet()) { it.slice }.forEach { renting.computeIfPresent(it) { _, n -> if (n > 1) n - 1 else null } }
+            if (rented is Rented.NoCapacity) soldOutUntil[offer] = now + SOLD_OUT_MS
+            if (rented is Rented.Hosts) {
+                log.info("rented {} of {} {} in {}{}", rented.names.size, rental.count, rental.build, rental.yard, if (rental.driftwood) ", spot" else "")
+                if (rented.names.size < rental.count) soldOutUntil[offer] = now + SOLD_OUT_MS
+                val names = ArrayDeque(rented.names)
+                for (share in shares) {
+                    repeat(share.count) {
+                        names.removeFirstOrNull()?.let {
+                            unassigned[HostRecord(it, rental.build, rental.yard, rental.driftwood)] = Destination(share.slice, 0L)
+                        }
+                    }
                 }
+                assignLeftovers()
             }
         }
     }
 
     private fun assignLeftovers() {
+        if (unassigned.isEmpty()) return
         unassigned.keys.removeIf { cluster.sliceOfHost(it.name) != null }
         for ((slice, hosts) in unassigned.entries.groupBy { it.value.slice }) {
-            val names = hosts.map { it.key }
+            val records = hosts.map { it.key }
             if (!assigning.add(slice)) continue
-            cluster.addHosts(slice, names, hosts.maxOf { it.value.seen }) { ok ->
+            cluster.addHosts(slice, records, hosts.maxOf { it.value.seen }) { added ->
                 assigning.remove(slice)
-                if (ok) {
-                    outdated[slice] = cluster.records[slice.value]?.stamp ?: 0L
-                    unassigned.keys.removeAll(names.toSet())
+                if (added.isNotEmpty()) {
+                    outdated[slice] = cluster.machinesStamp(slice)
+                    unassigned.keys.removeIf { it.name in added }
                 }
             }
         }
     }
 
-    /** A worker nobody has given to a slice reports: it is used. */
+    /**
+     * A worker nobody has given to a slice reports: once it has answered a call, it is used.
+     *
+     * The report alone proves nothing: it may be a late copy from a machine that was returned, and such a machine must not
+     * come back into a slice; and a machine that hears nothing is of no use.
+     */
     fun stranger(report: Report) {
-        if (!cluster.leading || !cluster.fresh() || report.host in returning) return
+        if (!cluster.leading || !cluster.fresh() || report.host in returning || cluster.departedLately(report.host)) return
         // At a first start the slices appear one by one; waiting for all of them spreads the machines evenly.
         if (cluster.records.any { it == null }) return
+        if (unassigned.keys.any { it.name == report.host } || calling.size >= MOST_CALLED || !calling.add(report.host)) return
+        // Neither token nor session are the worker's: nothing is executed, and the refusal is its newest report.
+        out.direct(report.addr, 0L, 0L, emptyList()) { reply ->
+            calling.remove(report.host)
+            val answer = (reply as? Reply.Answer)?.takeIf { it.status == 200 || it.status == 409 } ?: return@direct
+            try {
+                val now = Report.parse(answer.body)
+                if (now.host == report.host && cluster.leading) accept(now)
+            } catch (e: MalformedException) {
+                log.error("the answer of {} cannot be read: {}", report.host, e.message)
+            }
+        }
+    }
+
+    private val calling = HashSet<String>()
+
+    private fun accept(report: Report) {
+        if (cluster.sliceOfHost(report.host) != null || report.host in returning || cluster.departedLately(report.host)) return
         val host = HostRecord(report.host, report.build, report.yard, report.driftwood)
-        val meant = unassigned[host]?.slice
-        val slice = meant ?: emptiest()
-        if (meant == null) log.info("{}: a worker of no slice reports; it goes to slice {}", report.host, slice.value)
+        val slice = emptiest()
+        log.info("{}: a worker of no slice reports; it goes to slice {}", report.host, slice.value)
         unassigned[host] = Destination(slice, report.baton)
         assignLeftovers()
     }
 
     /** The slice with the fewest CPUs, so that machines found at the start are spread evenly. */
-    private fun emptiest(): SliceIndex = cluster.records.indices
-        .filter { cluster.records[it] != null }
-        .minByOrNull { index ->
-            val coming = unassigned.filterValues { it.slice.value == index }.keys
-            (cluster.records[index]?.record?.hosts.orEmpty() + coming).sumOf { flavors()[it.build]?.cpus ?: 1.0 }
-        }
-        .let { SliceIndex(it ?: 0) }
+    private fun emptiest(): SliceIndex {
+        val cpus = DoubleArray(cluster.records.size)
+        for (slice in cpus.indices) cpus[slice] = cluster.hostsOf(SliceIndex(slice)).sumOf { flavors()[it.build]?.cpus ?: 1.0 }
+        for ((host, to) in unassigned) cpus[to.slice.value] += flavors()[host.build]?.cpus ?: 1.0
+        return SliceIndex(cpus.indices.minByOrNull { cpus[it] } ?: 0)
+    }
 
     /** Machines that nobody expected use themselves by reporting; those that only cost are returned. */
     private fun seeList(hosts: List<ListedHost>) {
         val now = clock.now()
         val listed = hosts.mapTo(HashSet()) { it.name }
         strangers.keys.retainAll(listed)
+        val expected = unassigned.keys.mapTo(HashSet()) { it.name }
         val lost = ArrayList<String>()
         for (host in hosts) {
-            if (cluster.sliceOfHost(host.name) != null || cluster.departedLately(host.name) || unassigned.keys.any { it.name == host.name }) {
+            if (cluster.sliceOfHost(host.name) != null || cluster.departedLately(host.name) || host.name in expected) {
                 strangers.remove(host.name)
                 continue
             }
@@ -265,7 +310,10 @@
         const val LIST_MIN_MS = 5_000L
         const val SOLD_OUT_MS = 20_000L
         const val RENT_TRIES = 3
-        const val MOST_AT_ONCE = 20
+        const val MOST_AT_ONCE = 50
+        const val MIN_IN_A_ZONE = 4
+        const val MOST_OFFERS = 8
+        const val MOST_CALLED = 64
         const val MOST_RETURNED = 100
     }
 }
--- a/src/main/kotlin/io/reedmast/fleet/Offer.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Offer.kt
@@ -16,7 +16,7 @@
     var bestCost = Double.MAX_VALUE
     for (flavor in flavors) {
         if (demand.builds != null && flavor.label !in demand.builds) continue
-        val holds = flavor.holds(demand.cpus, demand.gpus, demand.memGb)
+        val holds = demand.heldBy(flavor)
         if (holds < 1) continue
         val count = ceil(demand.count.toDouble() / holds).toInt()
         val yards = flavor.yards.filter { demand.yard == null || it == demand.yard }.sortedBy { held(it) }
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/fleet/Wants.kt
@@ -0,0 +1,226 @@
+package io.reedmast.fleet
+
+import io.reedmast.app.Outward
+import io.reedmast.jobs.Job
+import io.reedmast.jobs.SliceBook
+import io.reedmast.placement.allows
+import io.reedmast.settings.TeamIndex
+import io.reedmast.state.Change
+import io.reedmast.state.Fetched
+import io.reedmast.state.Guard
+import io.reedmast.state.Haste
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.wire.JobSpec
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.map
+import io.reedmast.workers.HostRecord
+import io.reedmast.workers.Machine
+import org.slf4j.LoggerFactory
+import kotlin.math.ceil
+import kotlin.math.sqrt
+
+/** What a slice needs, what it can spare, and the totals that tell the leader. */
+class Wants(private val book: SliceBook, private val out: Outward, private val hostsStamp: () -> Long, private val termInDoubt: () -> Unit) {
+    private val log = LoggerFactory.getLogger("slice")
+    private val slice = book.index.value
+    private var stamp = 0L
+    private var writing = false
+    private var due = 0L
+    private var lastDemand: List<Demand> = emptyList()
+    private var lastWritten = 0L
+
+    fun load(totals: Item) {
+        stamp = totals.stamp
+        try {
+            book.usage.load(totals.value.map("usage"))
+        } catch (e: MalformedException) {
+            log.error("slice {}: stored totals cannot be read: {}", slice, e.message)
+        }
+    }
+
+    // ---- room ---------------------------------------------------------------------------------------------------------
+
+    /** Free room of a machine, which is filled up in thought. */
+    class Room(val host: HostRecord, private var cpus: Double, private var gpus: Double, private var memGb: Double) {
+        /** Takes as many of [most] tasks as fit, and returns how many. */
+        fun take(spec: JobSpec, most: Int): Int {
+            if (!allows(spec, host.build, host.yard, host.driftwood)) return 0
+            var fit = most
+            if (spec.cpus > 0) fit = minOf(fit, ((cpus + Machine.EPSILON) / spec.cpus).toInt())
+            if (spec.gpus > 0) fit = minOf(fit, ((gpus + Machine.EPSILON) / spec.gpus).toInt())
+            if (spec.memGb > 0) fit = minOf(fit, ((memGb + Machine.EPSILON) / spec.memGb).toInt())
+            if (fit <= 0) return 0
+            cpus -= spec.cpus * fit
+            gpus -= spec.gpus * fit
+            memGb -= spec.memGb * fit
+            return fit
+        }
+    }
+
+    /** The room of machines that have not come up yet. */
+    fun coming(): List<Room> = book.machines.values
+        .filter { !it.trusted && it.retirement == null && it.flavor != null }
+        .map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
+
+    /** How many of [count] tasks find no room in [rooms]. */
+    fun left(spec: JobSpec, count: Int, rooms: List<Room>): Int {
+        var left = count
+        for (room in rooms) {
+            if (left <= 0) break
+            left -= room.take(spec, left)
+        }
+        return left
+    }
+
+    // ---- what can be spared ---------------------------------------------------------------------------------------------
+
+    /** Whether the slice would have too little free room for the services that arrive while a machine boots. */
+    inner class Spare(private var free: Double, private val wanted: Double) {
+        fun needs(machine: Machine) = wanted > 0.0 && !machine.record.driftwood && free - machine.freeCpus < wanted
+
+        fun without(machine: Machine) {
+            if (!machine.record.driftwood) free -= machine.freeCpus
+        }
+    }
+
+    fun spareCpus(now: Long) = Spare(book.machines.values.filter { it.usable && !it.record.driftwood }.sumOf { it.freeCpus }, headroom(now))
+
+    /** Expected CPUs of the services that arrive within a boot, with two deviations on top. */
+    private fun headroom(now: Long): Double {
+        val boot = shortestBoot() ?: return 0.0
+        var sum = 0.0
+        for ((lot, times) in book.arrivals) {
+            while (times.isNotEmpty() && now - times.first() > ARRIVALS_WINDOW_MS) times.removeFirst()
+            if (times.isEmpty()) continue
+            val size = book.jobs.values.firstOrNull { it.spec.lot == lot }?.spec ?: continue
+            val expected = times.size * boot * 1000.0 / ARRIVALS_WINDOW_MS
+            sum += (expected + 2 * sqrt(expected)) * size.cpus * size.pieces
+        }
+        return sum
+    }
+
+    private fun shortestBoot(): Double? = book.machines.values.mapNotNull { it.flavor?.startupS }.minOrNull()
+
+    private var meanImageGb = 0.0
+
+    /**
+     * How long an empty machine is kept.
+     *
+     * What is lost with it is its boot and its images; a boot is partly hidden, since machines are rented as work comes.
+     * Spot machines cost a fraction, and are kept longer by the same measure.
+     */
+    fun patienceMs(machine: Machine): Double {
+        val flavor = machine.flavor ?: return 0.0
+        val ordinary =
+            book.tuning.idleS
+                ?: maxOf(flavor.startupS * BOOT_WORTH + meanImageGb / flavor.pullGbPerS, book.settings.workers.reportS * KEPT_REPORTS)
+        return ordinary * 1000 * if (machine.record.driftwood) SPOT_PATIENCE else 1.0
+    }
+
+    /** Empty for a while and not kept for services, or still booting while nothing waits. */
+    private fun movable(now: Long): List<String> {
+        val spare = spareCpus(now)
+        return book.machines.values.filter { machine ->
+            machine.placements.isEmpty() && machine.retirement == null && !machine.returning && machine.flavor != null &&
+                (!machine.everHeard || (machine.trusted && now - machine.emptySince > IDLE_TO_MOVE_MS && !spare.needs(machine)))
+        }.take(MAX_IDLE).map { it.name }
+    }
+
+    // ---- what is wanted ---------------------------------------------------------------------------------------------------
+
+    fun demand(): List<Demand> {
+        val rooms = coming()
+        val kinds = LinkedHashMap<Any, Demand>()
+        val excess = excess()
+        val left = HashMap<TeamIndex, Double>()
+        for (job in book.jobs.values.filter { it.waitingCount > 0 && !it.ending && !book.looksBad(it) }.sortedBy { it.spec.rank }) {
+            val spec = job.spec
+            var tasks = minOf(job.waitingCount, book.allowance(job))
+            val share = book.settings.teams[job.team.value]
+            if (share.maxCpus > 0 && spec.cpus > 0) {
+                val cpus = left.getOrPut(job.team) { share.maxCpus - book.usedCpus(job.team) }
+                tasks = minOf(tasks, (cpus / spec.cpus + Machine.EPSILON).toInt())
+                left[job.team] = cpus - tasks * spec.cpus
+            }
+            tasks = left(spec, tasks, rooms)
+            if (!spec.service) tasks = ceil(tasks * excess).toInt()
+            if (tasks <= 0) continue
+            val demand = Demand.of(spec, book.late(job), tasks)
+            kinds.merge(demand.kind(), demand, Demand::plus)
+        }
+        return kinds.values.toList()
+    }
+
+    /**
+     * The part of the waiting array work that the slice's machines would not get through while a new machine boots.
+     *
+     * Run times are the owners' estimates; work that would be over before a machine is up is not worth one.
+     */
+    private fun excess(): Double {
+        var work = 0.0
+        var running = 0.0
+        for (job in book.jobs.values) {
+            if (job.spec.service) continue
+            work += job.waitingCount * job.spec.cpus * job.spec.guessS
+            running += job.placedCount * job.spec.cpus
+        }
+        if (work <= 0.0) return 1.0
+        val boot = shortestBoot() ?: return 1.0
+        return maxOf(0.0, 1.0 - running * boot / work)
+    }
+
+    // ---- totals -----------------------------------------------------------------------------------------------------------
+
+    /** Team totals and demand, every few seconds, and sooner when demand has changed. */
+    fun writeTotals(now: Long) {
+        if (writing || now - lastWritten < MIN_TOTALS_MS) return
+        meanImageGb = if (book.jobs.isEmpty()) 0.0 else book.jobs.values.sumOf { it.spec.sizeGb } / book.jobs.size
+        val demand = demand()
+        val wanted = demand.isNotEmpty() || lastDemand.isNotEmpty()
+        if (now < due && !(wanted && demand != lastDemand)) return
+        lastDemand = demand
+        lastWritten = now
+        due = now + (book.tuning.totalsS * 1000).toLong()
+        writing = true
+        val wall = book.clock.wall()
+        val waiting = book.jobs.values.filter { it.waitingCount > 0 }.mapTo(HashSet()) { it.team }
+        val value =
+            mapOf(
+                "term" to book.term,
+                "hosts" to hostsStamp(),
+                "usage" to book.usage.toFields(book.teams),
+                "ratio" to (waiting.minOfOrNull { book.ratio(it, wall) } ?: 0.0),
+                "demand" to demand.take(MAX_KINDS).map { it.toFields() },
+                "idle" to movable(now),
+            )
+        val path = Keys.totals(slice)
+        out.commit(
+            Change(listOf(book.termGuard, Guard(path, stamp)), listOf(Write.Put(path, value)), if (wanted) Haste.PROMPT else Haste.LAZY) { outcome ->
+                writing = false
+                if (book.dropped) return@Change
+                if (outcome is Outcome.Applied) stamp = outcome.epoch
+                if (outcome is Outcome.Conflict) {
+                    if (Keys.slice(slice) in outcome.failed) termInDoubt()
+                    if (path in outcome.failed) out.get(path) { if (it is Fetched.Found) stamp = it.item.stamp }
+                }
+            },
+        )
+    }
+
+    /** Whether machines that are on their way have room for all that [job] may still start. */
+    fun comingHolds(job: Job, rooms: List<Room>): Boolean = left(job.spec, minOf(job.waitingCount, book.allowance(job)), rooms) == 0
+
+    private companion object {
+        const val SPOT_PATIENCE = 4.0
+        const val KEPT_REPORTS = 4
+        const val BOOT_WORTH = 0.25
+        const val ARRIVALS_WINDOW_MS = 180_000L
+        const val MIN_TOTALS_MS = 1_000L
+        const val IDLE_TO_MOVE_MS = 2_000L
+        const val MAX_KINDS = 12
+        const val MAX_IDLE = 100
+    }
+}
--- a/src/main/kotlin/io/reedmast/jobs/JobDoor.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobDoor.kt
@@ -1,12 +1,9 @@
 package io.reedmast.jobs
 
-import com.github.benmanes.caffeine.cache.Caffeine
 import io.reedmast.app.Clock
 import io.reedmast.app.Outward
 import io.reedmast.ownership.Cluster
-import io.reedmast.peers.Progress
 import io.reedmast.settings.Settings
-import io.reedmast.settings.SliceIndex
 import io.reedmast.state.Change
 import io.reedmast.state.Fetched
 import io.reedmast.state.Guard
@@ -25,8 +22,8 @@
 /**
  * Submissions, polls and cancellations, on any node.
  *
- * What a user is told is stored before, and a poll reads the stored record, so every later answer of every node agrees
- * with it. Only final states are remembered, since they never change.
+ * What a user is told is stored before, and a poll waits until this node knows all that was stored when it came, so every
+ * later answer of every node agrees with it. Only final states are answered from memory at once, since they never change.
  */
 class JobDoor(
     private val settings: Settings,
@@ -36,11 +33,11 @@
     private val flavors: () -> Map<String, Flavor>,
 ) {
     private val log = LoggerFactory.getLogger("jobs")
-    private val finals = Caffeine.newBuilder().maximumSize(FINALS_KEPT).executor(Runnable::run).build<String, RefRecord>()
+    private val jobs get() = cluster.jobs
 
     fun submit(spec: JobSpec, answer: (UserAnswer) -> Unit) {
-        finals.getIfPresent(spec.ref)?.let {
-            answer(known(spec.ref, it))
+        jobs.end(spec.ref)?.let {
+            answer(ended(spec.ref, it))
             return
         }
         val team = settings.teamsByName[spec.crew]
@@ -49,7 +46,7 @@
             answer(UserAnswer(422, mapOf("error" to refusal)))
             return
         }
-        if (!cluster.ready || flavors().isEmpty()) {
+        if (!cluster.ready || flavors().isEmpty() || !out.stateAnswers) {
             answer(later())
             return
         }
@@ -57,29 +54,25 @@
             answer(UserAnswer(422, mapOf("error" to "a task fits no allowed machine type")))
             return
         }
-        if (!out.stateAnswers) {
-            answer(later())
+        if (jobs.live(spec.ref) != null) {
+            poll(spec.ref, answer)
             return
         }
         val slice = settings.sliceOf(team).value
-        val now = clock.wall()
-        val record = RefRecord(slice, spec.pieces, null, spec.toFields(), now)
-        val header = Job.header(spec, Job.chunkSizeFor(settings.stateLimits.valueBytes), now)
-        val paths = listOf(Keys.ref(spec.ref), Keys.live(slice, spec.ref))
+        val record = LiveRecord(spec, Page.chunkSizeFor(settings.stateLimits.valueBytes), clock.wall(), aborted = false).toFields()
+        val path = Keys.live(slice, spec.ref)
+        // A late copy of a submission must not bring back a job that is over: its end is a condition too.
         val change =
-            Change(
-                paths.map { Guard(it, 0) },
-                listOf(Write.Put(paths[0], record.toFields()), Write.Put(paths[1], header)),
-            ) { outcome ->
+            Change(listOf(Guard(path, 0), Guard(Keys.end(spec.ref), 0)), listOf(Write.Put(path, record))) { outcome ->
                 when (outcome) {
                     is Outcome.Applied -> {
                         log.info("{}: accepted, {} tasks of {} for {}", spec.ref, spec.pieces, spec.lot, spec.crew)
                         answer(UserAnswer(201, mapOf("ref" to spec.ref, "stage" to "queued")))
-                        cluster.refChanged(spec.ref, record, outcome.epoch)
-                        cluster.owned().forEach { it.settle() }
+                        jobs.see(path, record, outcome.epoch)
                     }
 
                     is Outcome.Conflict -> poll(spec.ref) { answer(if (it.status == 404) later() else it) }
+
                     is Outcome.Refused -> answer(UserAnswer(413, mapOf("error" to "the job's description is too large")))
                 }
             }
@@ -100,115 +93,89 @@
 
     private fun later() = UserAnswer(503, mapOf("error" to "cannot decide yet"), RETRY_AFTER_S)
 
-    private fun known(ref: String, record: RefRecord): UserAnswer {
-        val done = if (record.final == FinalStage.DONE) record.pieces else 0
-        return UserAnswer(200, mapOf("ref" to ref, "stage" to record.final?.wire, "done" to done, "running" to 0))
+    private fun ended(ref: String, end: EndRecord): UserAnswer {
+        val done = if (end.stage == FinalStage.DONE) end.pieces else 0
+        return UserAnswer(200, mapOf("ref" to ref, "stage" to end.stage.wire, "done" to done, "running" to 0))
+    }
+
+    private fun aborted(ref: String) = ended(ref, EndRecord(FinalStage.ABORTED, 0))
+
+    /** Counts are for display; a job of which no owner has told is shown as queued, which is never too new. */
+    private fun unfinished(ref: String, job: LiveJob) =
+        UserAnswer(200, mapOf("ref" to ref, "stage" to if (job.running > 0) "running" else "queued", "done" to job.done, "running" to job.running))
+
+    fun poll(ref: String, answer: (UserAnswer) -> Unit) = find(ref, answer) { job ->
+        answer(if (job.record.aborted) aborted(ref) else unfinished(ref, job))
     }
 
-    fun poll(ref: String, answer: (UserAnswer) -> Unit) {
+    /** Answers for a job that is over, unknown, or cannot be looked up now; leaves an unfinished one to [use]. */
+    private fun find(ref: String, answer: (UserAnswer) -> Unit, use: (LiveJob) -> Unit) {
         if (!JobSpec.isRef(ref)) {
             answer(UNKNOWN)
             return
         }
-        finals.getIfPresent(ref)?.let {
-            answer(known(ref, it))
+        jobs.end(ref)?.let {
+            answer(ended(ref, it))
             return
         }
-        read(ref, answer) { record, _ ->
-            if (record.final != null) {
-                finals.put(ref, record)
-                answer(known(ref, record))
-            } else {
-                progress(ref, record, answer)
+        cluster.whenKnown { known ->
+            val job = jobs.live(ref)
+            val end = jobs.end(ref)
+            when {
+                !known -> answer(later())
+                end != null -> answer(ended(ref, end))
+                job != null -> use(job)
+                else -> readEnd(ref, answer)
             }
         }
     }
 
-    private fun progress(ref: String, record: RefRecord, answer: (UserAnswer) -> Unit) {
-        val owner = cluster.ownerOf(SliceIndex(record.slice))
-        if (owner == null || owner == settings.label) {
-            answer(stage(ref, cluster.owners.getOrNull(record.slice)?.takeIf { !it.dropped }?.progress(ref)))
-        } else {
-            out.progress(owner, ref) { answer(stage(ref, it)) }
-        }
-    }
+    /** Not among the unfinished: it ended long ago, or nobody has submitted it. */
+    private fun readEnd(ref: String, answer: (UserAnswer) -> Unit) = out.get(Keys.end(ref)) { fetched ->
+        when (fetched) {
+            is Fetched.Failed -> answer(later())
 
-    /** Counts are for display: a job whose owner does not answer is shown as queued, which is never too new. */
-    private fun stage(ref: String, progress: Progress?): UserAnswer {
-        val running = progress?.running ?: 0
-        return UserAnswer(
-            200,
-            mapOf("ref" to ref, "stage" to if (running > 0) "running" else "queued", "done" to (progress?.done ?: 0), "running" to running),
-        )
-    }
+            is Fetched.Missing -> answer(UNKNOWN)
 
-    fun abort(ref: String, answer: (UserAnswer) -> Unit, tries: Int = ABORT_TRIES) {
-        if (!JobSpec.isRef(ref)) {
-            answer(UNKNOWN)
-            return
-        }
-        read(ref, answer) { record, stamp ->
-            if (record.final != null) {
-                finals.put(ref, record)
-                answer(ended(ref, record.final))
-                return@read
-            }
-            if (!out.stateAnswers) {
+            is Fetched.Found -> try {
+                val end = EndRecord.parse(fetched.item.value)
+                jobs.noteEnd(ref, end)
+                answer(ended(ref, end))
+            } catch (e: MalformedException) {
+                log.error("{}: its final record cannot be read: {}", ref, e.message)
                 answer(later())
-                return@read
             }
-            val aborted = record.ended(FinalStage.ABORTED)
-            val mark = Keys.abortMark(record.slice, ref)
-            out.commit(
-                Change(
-                    listOf(Guard(Keys.ref(ref), stamp), Guard(mark, 0)),
-                    listOf(Write.Put(Keys.ref(ref), aborted.toFields()), Write.Put(mark, emptyMap())),
-                ) { outcome ->
-                    if (outcome is Outcome.Applied) {
-                        finals.put(ref, aborted)
-                        answer(ended(ref, FinalStage.ABORTED))
-                        cluster.refChanged(ref, aborted, outcome.epoch)
-                        cluster.owned().forEach { it.settle() }
-                    } else if (tries > 1) {
-                        abort(ref, answer, tries - 1)
-                    } else {
-                        answer(later())
-                    }
-                },
-            )
         }
     }
 
-    private fun ended(ref: String, stage: FinalStage) = UserAnswer(200, mapOf("ref" to ref, "stage" to stage.wire))
-
-    private fun read(ref: String, answer: (UserAnswer) -> Unit, use: (RefRecord, Long) -> Unit) {
-        out.get(Keys.ref(ref)) { fetched ->
-            when (fetched) {
-                is Fetched.Failed -> {
+    fun abort(ref: String, answer: (UserAnswer) -> Unit, tries: Int = ABORT_TRIES): Unit = find(ref, answer) { job ->
+        if (job.record.aborted) {
+            answer(aborted(ref))
+            return@find
+        }
+        if (!out.stateAnswers) {
+            answer(later())
+            return@find
+        }
+        val path = Keys.live(job.slice.value, ref)
+        val record = job.record.aborted().toFields()
+        out.commit(
+            Change(listOf(Guard(path, job.stamp)), listOf(Write.Put(path, record))) { outcome ->
+                if (outcome is Outcome.Applied) {
+                    log.info("{}: cancelled by its user", ref)
+                    answer(aborted(ref))
+                    jobs.see(path, record, outcome.epoch)
+                } else if (tries > 1) {
+                    abort(ref, answer, tries - 1)
+                } else {
                     answer(later())
                 }
-
-                is Fetched.Missing -> {
-                    answer(UNKNOWN)
-                }
-
-                is Fetched.Found -> {
-                    val record =
-                        try {
-                            RefRecord.parse(fetched.item.value)
-                        } catch (e: MalformedException) {
-                            log.error("{}: its record cannot be read: {}", ref, e.message)
-                            null
-                        }
-                    if (record == null) answer(later()) else use(record, fetched.item.stamp)
-                }
-            }
-        }
+            },
+        )
     }
 
     private companion object {
         val UNKNOWN = UserAnswer(404, mapOf("error" to "no such job"))
-        const val FINALS_KEPT = 20_000L
         const val RETRY_AFTER_S = 1
         const val ABORT_TRIES = 4
         const val SLACK = 1e-9
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/jobs/JobIndex.kt
@@ -0,0 +1,133 @@
+package io.reedmast.jobs
+
+import com.github.benmanes.caffeine.cache.Caffeine
+import io.reedmast.peers.Progress
+import io.reedmast.settings.Settings
+import io.reedmast.settings.SliceIndex
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.wire.Fields
+import io.reedmast.wire.JobSpec
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.count
+import io.reedmast.wire.map
+import io.reedmast.wire.optionalFlag
+import org.slf4j.LoggerFactory
+
+/** How a job ended. */
+enum class FinalStage(val wire: String) {
+    DONE("done"),
+    ABORTED("aborted"),
+}
+
+/** The record of an unfinished job, under its slice. Whoever cancels the job rewrites it. */
+class LiveRecord(val spec: JobSpec, val chunkSize: Int, val acceptedAtMs: Long, val aborted: Boolean) {
+    fun toFields(): Fields {
+        val fields = mapOf("spec" to spec.toFields(), "chunk" to chunkSize, "at" to acceptedAtMs)
+        return if (aborted) fields + ("aborted" to true) else fields
+    }
+
+    fun aborted() = LiveRecord(spec, chunkSize, acceptedAtMs, true)
+
+    companion object {
+        fun parse(fields: Fields) =
+            LiveRecord(JobSpec.parse(fields.map("spec")), maxOf(1, fields.count("chunk").toInt()), fields.count("at"), fields.optionalFlag("aborted"))
+    }
+}
+
+/** The record of a job that is over, kept for good. */
+class EndRecord(val stage: FinalStage, val pieces: Int) {
+    fun toFields(): Fields = mapOf("stage" to stage.wire, "pieces" to pieces)
+
+    companion object {
+        fun parse(fields: Fields) = EndRecord(
+            FinalStage.entries.firstOrNull { it.wire == fields["stage"] } ?: throw MalformedException("stage is unknown"),
+            fields.count("pieces").toInt(),
+        )
+    }
+}
+
+/** An unfinished job as every node knows it. */
+class LiveJob(val slice: SliceIndex, val record: LiveRecord, val stamp: Long) {
+    /** Counts for display, as the slice's owner last told. */
+    var done = 0
+    var running = 0
+}
+
+/**
+ * All unfinished jobs, and as many ended ones as fit, as the watch on their records tells.
+ *
+ * Every node has it, so that a question about a job need not be read from the state service one by one: with hundreds of
+ * users asking, those reads were more than the service takes.
+ */
+class JobIndex(private val settings: Settings, private val owned: () -> List<SliceOwner>) {
+    private val log = LoggerFactory.getLogger("jobs")
+    private val live = HashMap<String, LiveJob>()
+
+    /** Final states never change, so those that do not fit are read again. */
+    private val ends = Caffeine.newBuilder().maximumSize(ENDS_KEPT).executor(Runnable::run).build<String, EndRecord>()
+
+    fun live(ref: String): LiveJob? = live[ref]
+
+    fun end(ref: String): EndRecord? = ends.getIfPresent(ref)
+
+    fun noteEnd(ref: String, end: EndRecord) = ends.put(ref, end)
+
+    fun liveOf(slice: SliceIndex): List<LiveJob> = live.values.filter { it.slice == slice }
+
+    /** Takes up a complete reading; [epoch] is what it is at least as new as. */
+    fun load(items: List<Item>, epoch: Long) {
+        val listed = items.mapTo(HashSet()) { it.path.substringAfterLast('/') }
+        live.filter { (ref, job) -> ref !in listed && job.stamp <= epoch }.keys.toList().forEach { remove(it, Long.MAX_VALUE) }
+        items.forEach { see(it.path, it.value, it.stamp) }
+    }
+
+    /** A record was stored, or (null) deleted, whichever is told first: the watch, or the answer to a change of our own. */
+    fun see(path: String, value: Fields?, stamp: Long) {
+        val ref = path.substringAfterLast('/')
+        try {
+            when {
+                path.startsWith(Keys.ENDS) -> if (value != null) noteEnd(ref, EndRecord.parse(value))
+                !path.startsWith(Keys.LIVE) -> {}
+                value == null -> remove(ref, stamp)
+                else -> put(ref, path.removePrefix(Keys.LIVE).substringBefore('/').toIntOrNull(), value, stamp)
+            }
+        } catch (e: MalformedException) {
+            log.error("record {} cannot be read: {}", path, e.message)
+        }
+    }
+
+    private fun put(ref: String, slice: Int?, value: Fields, stamp: Long) {
+        // The watch may tell of the job after our own change has ended it.
+        if (slice == null || slice !in 0 until settings.slices || ends.getIfPresent(ref) != null) return
+        val known = live[ref]
+        if (known != null && known.stamp >= stamp) return
+        val job = LiveJob(SliceIndex(slice), LiveRecord.parse(value), stamp)
+        known?.let {
+            job.done = it.done
+            job.running = it.running
+        }
+        live[ref] = job
+        owned().forEach { if (it.index == job.slice) it.jobSeen(job) }
+    }
+
+    private fun remove(ref: String, stamp: Long) {
+        val known = live[ref] ?: return
+        if (known.stamp > stamp) return
+        live.remove(ref)
+        owned().forEach { if (it.index == known.slice) it.jobGone(ref) }
+    }
+
+    fun noteProgress(progress: List<Progress>) {
+        for (of in progress) {
+            live[of.ref]?.apply {
+                done = of.done
+                running = of.running
+            }
+        }
+    }
+
+    private companion object {
+        const val ENDS_KEPT = 20_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/jobs/Page.kt
@@ -0,0 +1,91 @@
+package io.reedmast.jobs
+
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.count
+import io.reedmast.wire.list
+import io.reedmast.wire.text
+import java.util.BitSet
+import java.util.HexFormat
+
+/**
+ * One stored value with the progress of several jobs of a slice.
+ *
+ * Each put counts against the state service's limit, whatever its size: a record for each job cost several puts a second
+ * where one does. A chunk stays in its page; room for all its tasks is set aside when it comes.
+ */
+class Page(val index: Int) {
+    var stamp = 0L
+    var writing = false
+    val chunks = LinkedHashSet<Chunk>()
+    var reserved = 0
+        private set
+
+    /** Since when something in it is not stored, 0 if all is. */
+    var dirtySince = 0L
+
+    /** Whether a placement waits for it to be launched. */
+    var urgent = false
+
+    fun hasRoom(chunk: Chunk, bytes: Int) = reserved + reserve(chunk) <= bytes
+
+    fun add(chunk: Chunk) {
+        chunk.page = this
+        if (chunks.add(chunk)) reserved += reserve(chunk)
+    }
+
+    fun remove(chunk: Chunk) {
+        if (chunks.remove(chunk)) reserved -= reserve(chunk)
+    }
+
+    fun toFields(left: Set<Placement>): Fields = mapOf(
+        "chunks" to
+            chunks.filter { it.placements.isNotEmpty() || !it.done.isEmpty }.map { chunk ->
+                mapOf(
+                    "ref" to chunk.job.spec.ref,
+                    "first" to chunk.first,
+                    "done" to HexFormat.of().formatHex(chunk.done.toByteArray()),
+                    "on" to chunk.placements.values.filter { it !in left }.flatMap { listOf(it.task, it.attempt, it.machine.name) },
+                )
+            },
+    )
+
+    /** One placement as it is stored. */
+    class Stored(val task: Int, val attempt: Long, val host: String)
+
+    /** One chunk as it is stored. */
+    class StoredChunk(val ref: String, val first: Int, val done: BitSet, val on: List<Stored>) {
+        companion object {
+            fun parse(fields: Fields): StoredChunk {
+                val flat = fields.list("on")
+                if (flat.size % 3 != 0) throw MalformedException("on is cut short")
+                val on =
+                    flat.chunked(3).map { (task, attempt, host) ->
+                        Stored(
+                            (task as? Long)?.toInt() ?: throw MalformedException("task is no integer"),
+                            attempt as? Long ?: throw MalformedException("attempt is no integer"),
+                            host as? String ?: throw MalformedException("host is no text"),
+                        )
+                    }
+                val done =
+                    try {
+                        BitSet.valueOf(HexFormat.of().parseHex(fields.text("done")))
+                    } catch (e: IllegalArgumentException) {
+                        throw MalformedException("done is no bit set: ${e.message}")
+                    }
+                return StoredChunk(fields.text("ref"), fields.count("first").toInt(), done, on)
+            }
+        }
+    }
+
+    companion object {
+        /** The most that one placement takes: task, attempt and host name, with their commas. */
+        private const val BYTES_PER_PLACEMENT = 48
+        private const val BYTES_PER_CHUNK = 64
+
+        private fun reserve(chunk: Chunk) = BYTES_PER_CHUNK + chunk.job.spec.ref.length + chunk.size * BYTES_PER_PLACEMENT + chunk.size / 4 + 1
+
+        /** Tasks that a chunk has at most, so that two of them fit one value. */
+        fun chunkSizeFor(valueBytes: Int): Int = maxOf(1, (valueBytes / 2 - 3 * BYTES_PER_CHUNK) / (BYTES_PER_PLACEMENT + 1))
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/jobs/SliceBook.kt
@@ -0,0 +1,172 @@
+package io.reedmast.jobs
+
+import io.reedmast.app.Clock
+import io.reedmast.fairshare.Usage
+import io.reedmast.fairshare.funded
+import io.reedmast.settings.Settings
+import io.reedmast.settings.SliceIndex
+import io.reedmast.settings.TeamIndex
+import io.reedmast.settings.Tuning
+import io.reedmast.state.Guard
+import io.reedmast.state.Keys
+import io.reedmast.wire.Flavor
+import io.reedmast.wire.JobSpec
+import io.reedmast.workers.Machine
+
+/**
+ * What an owner knows of its slice. The duties around it (reports, commands, placing, storing, upkeep, demand) read and
+ * change it, all on the deciding thread.
+ *
+ * Nothing here guesses: a placement counts from the decision until there is evidence that its attempt is over.
+ */
+class SliceBook(
+    val index: SliceIndex,
+    val settings: Settings,
+    val tuning: Tuning,
+    val clock: Clock,
+    private val flavorList: () -> Collection<Flavor>,
+    /** Whether this node has lately heard enough from the state service to act. */
+    val fresh: () -> Boolean,
+) {
+    var token = 0L
+    var term = 0L
+    var active = false
+    var activeAt = 0L
+
+    /** Set when another owner has taken the slice: answers that still come in are ignored. */
+    var dropped = false
+
+    val jobs = LinkedHashMap<String, Job>()
+    val machines = LinkedHashMap<String, Machine>()
+    val usage = Usage((tuning.windowS * 1000).toLong())
+    val teams = settings.teams.indices.map { TeamIndex(it) }.filter { settings.sliceOf(it) == index }
+    private val usedCpus = DoubleArray(settings.teams.size)
+    private val usedGpus = DoubleArray(settings.teams.size)
+
+    /** For whom a placement is being stopped: that many tasks of the job need no other victim. */
+    val preemptedFor = HashMap<Placement, Job>()
+
+    /** Something has changed that may let waiting work start. */
+    var placeWanted = false
+
+    /** When services of each class were accepted lately. */
+    val arrivals = HashMap<String, ArrayDeque<Long>>()
+
+    val flavors: Collection<Flavor> get() = flavorList()
+    val termGuard: Guard get() = Guard(Keys.slice(index.value), term)
+
+    fun flavorOf(build: String): Flavor? = flavors.firstOrNull { it.label == build }
+
+    fun usedCpus(team: TeamIndex): Double = usedCpus[team.value]
+
+    fun place(placement: Placement) {
+        placement.job.add(placement)
+        count(placement, +1)
+    }
+
+    /** There is evidence that the attempt is over. */
+    fun finish(placement: Placement, done: Boolean) {
+        val job = placement.job
+        preemptedFor.remove(placement)?.let { it.preempting-- }
+        job.remove(placement, done)
+        touched(job.chunkOf(placement.task))
+        count(placement, -1)
+        if (placement.machine.placements.isEmpty()) placement.machine.emptySince = clock.now()
+        placeWanted = true
+    }
+
+    /** A chunk differs from what is stored. */
+    fun touched(chunk: Chunk) {
+        chunk.dirty = true
+        chunk.page?.let { if (it.dirtySince == 0L) it.dirtySince = clock.now() }
+        changed.add(chunk.job)
+    }
+
+    /** Jobs to look at when storing: what is stored of them, or whether they are over, may have changed. */
+    val changed = LinkedHashSet<Job>()
+
+    private fun count(placement: Placement, sign: Int) {
+        val team = placement.job.team.value
+        usedCpus[team] += sign * placement.job.spec.cpus
+        usedGpus[team] += sign * placement.job.spec.gpus
+    }
+
+    /** Charges funded work that was seen on its machine for the last [seconds]. */
+    fun charge(seconds: Double) {
+        val sums = DoubleArray(settings.teams.size)
+        for (machine in machines.values) {
+            val flavor = machine.flavor ?: continue
+            for (placement in machine.placements.values) {
+                if (placement.seen && placement.job.spec.rank.funded) sums[placement.job.team.value] += charge(placement.job.spec, flavor)
+            }
+        }
+        val wall = clock.wall()
+        for (team in teams) if (sums[team.value] > 0) usage.charge(team, sums[team.value] * seconds, wall)
+    }
+
+    /** The largest share of the machine, in that machine's CPUs, so that machines of different sizes add up. */
+    private fun charge(spec: JobSpec, flavor: Flavor): Double {
+        val share =
+            maxOf(
+                if (flavor.cpus > 0) spec.cpus / flavor.cpus else 0.0,
+                if (flavor.gpus > 0) spec.gpus / flavor.gpus else 0.0,
+                if (flavor.memGb > 0) spec.memGb / flavor.memGb else 0.0,
+            )
+        return share * flavor.cpus
+    }
+
+    // ---- teams ------------------------------------------------------------------------------------------------------
+
+    /** Charged use over the window against what the team is allocated for it. */
+    fun ratio(team: TeamIndex, nowMs: Long): Double {
+        val share = settings.teams[team.value]
+        val allocated = if (share.cpus > 0) share.cpus else share.gpus
+        // What runs now counts for the next minute too, so that a burst of decisions sees its own effect.
+        val soon = usedCpus[team.value] * LOOKAHEAD_S
+        return if (allocated <= 0.0) Double.MAX_VALUE else (usage.within(team, nowMs) + soon) / (allocated * tuning.windowS)
+    }
+
+    /** Whether one more task of this shape is within the team's guarantee. */
+    fun within(team: TeamIndex, spec: JobSpec): Boolean {
+        val share = settings.teams[team.value]
+        return usedCpus[team.value] + spec.cpus <= share.cpus + Machine.EPSILON &&
+            (spec.gpus == 0.0 || usedGpus[team.value] + spec.gpus <= share.gpus + Machine.EPSILON)
+    }
+
+    fun beyondGuarantee(team: TeamIndex): Boolean = usedCpus[team.value] > settings.teams[team.value].cpus + Machine.EPSILON
+
+    /** How many more tasks of this shape the team's limit allows. */
+    fun allowance(job: Job): Int {
+        val share = settings.teams[job.team.value]
+        var most = Int.MAX_VALUE
+        if (share.maxCpus > 0 && job.spec.cpus > 0) {
+            most = minOf(most, ((share.maxCpus - usedCpus[job.team.value] + Machine.EPSILON) / job.spec.cpus).toInt())
+        }
+        if (share.maxGpus > 0 && job.spec.gpus > 0) {
+            most = minOf(most, ((share.maxGpus - usedGpus[job.team.value] + Machine.EPSILON) / job.spec.gpus).toInt())
+        }
+        return maxOf(0, most)
+    }
+
+    fun dueMs(job: Job): Long {
+        val due = job.spec.dueS ?: settings.objectives.firstOrNull { it.kind == "finished" && it.lot == job.spec.lot }?.withinS
+        return if (due == null) job.acceptedAtMs else job.acceptedAtMs + (due * 1000).toLong()
+    }
+
+    fun late(job: Job): Boolean = clock.wall() > dueMs(job) + if (job.spec.dueS == null) LATE_WITHOUT_DUE_MS else 0L
+
+    fun startsSoon(job: Job) = job.spec.service || settings.objectives.any { it.kind == "wait" && it.lot == job.spec.lot }
+
+    /** Several tasks ended in a row without a result: the job has a mistake, and the machines have not. */
+    fun looksBad(job: Job) = job.failures >= FAILURES_OF_A_BAD_JOB
+
+    /** When a worker's report is overdue: reports go out a quarter early or late. */
+    val reportOverdueMs: Long = (settings.workers.reportS * 1250).toLong() + REPORT_SLACK_MS
+
+    private companion object {
+        const val LOOKAHEAD_S = 60.0
+        const val LATE_WITHOUT_DUE_MS = 120_000L
+        const val FAILURES_OF_A_BAD_JOB = 4
+        const val REPORT_SLACK_MS = 1_000L
+    }
+}
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -3,7 +3,7 @@
 import io.reedmast.app.Clock
 import io.reedmast.app.LeaseState
 import io.reedmast.app.Outward
-import io.reedmast.jobs.RefRecord
+import io.reedmast.jobs.JobIndex
 import io.reedmast.jobs.SliceOwner
 import io.reedmast.jobs.SliceRecords
 import io.reedmast.settings.Settings
@@ -13,6 +13,7 @@
 import io.reedmast.state.Event
 import io.reedmast.state.Fetched
 import io.reedmast.state.Guard
+import io.reedmast.state.Haste
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
 import io.reedmast.state.Outcome
@@ -20,14 +21,20 @@
 import io.reedmast.wire.Fields
 import io.reedmast.wire.Flavor
 import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Tree
 import io.reedmast.wire.count
 import io.reedmast.wire.text
 import io.reedmast.workers.HostRecord
 import org.slf4j.LoggerFactory
+import java.util.ArrayDeque
+import java.util.TreeMap
 
 /** A slice record as last seen, with its stamp. */
 data class Held(val record: SliceRecord, val stamp: Long)
 
+/** Some of a slice's machines as last seen, with the stamp of their record. */
+data class HeldPart(val part: HostPart, val stamp: Long)
+
 /**
  * Who owns what: this node's view of slices, nodes and leader, and the changes it makes to them.
  *
@@ -44,6 +51,8 @@
     private val log = LoggerFactory.getLogger("cluster")
     private val slices = (0 until settings.slices).map { SliceIndex(it) }
     val records = arrayOfNulls<Held>(settings.slices)
+    private val parts = Array(settings.slices) { TreeMap<Int, HeldPart>() }
+    override val jobs = JobIndex(settings, ::owned)
     val owners = arrayOfNulls<SliceOwner>(settings.slices)
     private val hostSlices = HashMap<String, SliceIndex>()
     private val nodes = HashSet<String>()
@@ -62,7 +71,9 @@
     private var nodeKeyLease: Long? = null
     private var claiming = false
     private val taking = BooleanArray(settings.slices)
-    private val writing = BooleanArray(settings.slices)
+
+    /** Records of machines and slices that a change of ours is on its way to. */
+    private val writing = HashSet<String>()
     private val lastTaken = LongArray(settings.slices) { Long.MIN_VALUE / 2 }
     private val refreshing = BooleanArray(settings.slices)
     private val startedAt = clock.now()
@@ -70,12 +81,18 @@
 
     /** When the newest complete answers of the two watches were asked for: what was stored before is known here. */
     private var clusterKnownAt = Long.MIN_VALUE / 2
-    private var refsKnownAt = Long.MIN_VALUE / 2
+    private var jobsKnownAt = Long.MIN_VALUE / 2
+    private var jobsLoaded = false
+
+    private class Waiting(val since: Long, val then: (Boolean) -> Unit)
+
+    /** Who waits until all is known that was stored before it asked. */
+    private val waiting = ArrayDeque<Waiting>()
 
     val leading: Boolean get() = leader == settings.label
 
     /** Whether this node has lately heard enough from the state service to decide anything. */
-    fun fresh(): Boolean = loaded && clock.now() - minOf(clusterKnownAt, refsKnownAt) < FRESH_MS
+    fun fresh(): Boolean = ready && clock.now() - minOf(clusterKnownAt, jobsKnownAt) < FRESH_MS
 
     /**
      * Whether this node may still answer workers with 200.
@@ -86,11 +103,11 @@
     fun mayAnswerWorkers(): Boolean {
         val rules = settings.workers
         val fenceS = (rules.cancelS - rules.leaseS) * (1 - CLOCK_DRIFT) - FENCE_SLACK_S
-        return loaded && clock.now() - minOf(clusterKnownAt, refsKnownAt) < maxOf(fenceS, 1.0) * 1000
+        return ready && clock.now() - minOf(clusterKnownAt, jobsKnownAt) < maxOf(fenceS, 1.0) * 1000
     }
 
     /** Whether requests of users can be taken. */
-    val ready: Boolean get() = loaded
+    val ready: Boolean get() = loaded && jobsLoaded
 
     fun sliceOfHost(host: String): SliceIndex? = hostSlices[host]
 
@@ -98,6 +115,31 @@
 
     fun owned(): List<SliceOwner> = owners.filterNotNull().filter { !it.dropped }
 
+    fun hostsOf(slice: SliceIndex): Sequence<HostRecord> = parts[slice.value].values.asSequence().flatMap { it.part.hosts }
+
+    override fun machinesStamp(slice: SliceIndex): Long = parts[slice.value].values.maxOfOrNull { it.stamp } ?: 0L
+
+    fun isLeaving(slice: SliceIndex, host: String) = parts[slice.value].values.any { host in it.part.leaving }
+
+    /**
+     * Calls [then] once everything stored before now is known here, or with false if that takes too long.
+     *
+     * This is what makes an answer from memory as new as a read: one question to the state service serves all who wait.
+     */
+    fun whenKnown(then: (Boolean) -> Unit) {
+        if (waiting.size >= MAX_WAITING) then(false) else waiting.add(Waiting(clock.now(), then))
+    }
+
+    private fun serveWaiting() {
+        while (true) {
+            val first = waiting.peek() ?: return
+            val known = jobsLoaded && jobsKnownAt > first.since
+            if (!known && clock.now() - first.since < KNOWN_WITHIN_MS) return
+            waiting.poll()
+            first.then(known)
+        }
+    }
+
     // ---- what the watches tell --------------------------------------------------------------------------------------
 
     fun snapshot(items: List<Item>, askedAt: Long) {
@@ -108,7 +150,6 @@
         settings.members.filter { Keys.node(it.label) !in seen }.forEach { absentSince.putIfAbsent(it.label, clock.now()) }
         clusterKnownAt = askedAt
         if (!loaded) {
-            refsKnownAt = askedAt
             loaded = true
             log.info("read the state: {} slices, {} nodes", records.count { it != null }, nodes.size)
         }
@@ -120,24 +161,19 @@
         clusterKnownAt = maxOf(clusterKnownAt, askedAt)
     }
 
-    fun refEvents(events: List<Event>, askedAt: Long) {
-        for (event in events) {
-            val value = event.value ?: continue
-            guarded(event.path) { refChanged(event.path.removePrefix(Keys.REFS), RefRecord.parse(value), event.stamp) }
-        }
-        refsKnownAt = maxOf(refsKnownAt, askedAt)
-        owned().forEach { it.settle() }
-    }
-
-    /** The watch on jobs has a gap: everything owned is read again. */
-    fun refsLost() {
-        log.info("the watch on jobs has a gap; all slices are read again")
-        owned().forEach { lastTaken[it.index.value] = Long.MIN_VALUE / 2 }
-        owned().forEach { take(it.index) }
+    /** All unfinished jobs, read at the start and after a gap in the watch on jobs. */
+    fun jobsSnapshot(items: List<Item>, epoch: Long, askedAt: Long) {
+        jobs.load(items, epoch)
+        if (!jobsLoaded) log.info("read {} unfinished jobs", items.size)
+        jobsLoaded = true
+        jobsKnownAt = maxOf(jobsKnownAt, askedAt)
+        serveWaiting()
     }
 
-    fun refChanged(ref: String, record: RefRecord, stamp: Long) {
-        owners.getOrNull(record.slice)?.takeIf { !it.dropped }?.refChanged(ref, record, stamp)
+    fun jobEvents(events: List<Event>, askedAt: Long) {
+        events.forEach { jobs.see(it.path, it.value, it.stamp) }
+        jobsKnownAt = maxOf(jobsKnownAt, askedAt)
+        serveWaiting()
     }
 
     private fun see(path: String, value: Fields?, stamp: Long) {
@@ -159,8 +195,8 @@
                     }
                 }
 
-                path.startsWith(NODE_PREFIX) -> {
-                    val label = path.removePrefix(NODE_PREFIX)
+                path.startsWith(Keys.NODES) -> {
+                    val label = path.removePrefix(Keys.NODES)
                     if (value != null) {
                         nodes.add(label)
                         absentSince.remove(label)
@@ -172,10 +208,15 @@
                     shareLimits()
                 }
 
-                path.startsWith(SLICE_PREFIX) -> {
-                    val index = path.removePrefix(SLICE_PREFIX).toIntOrNull()
-                    if (index != null && index in records.indices && value != null) {
-                        seeSlice(SliceIndex(index), SliceRecord.parse(value), stamp)
+                path.startsWith(Keys.SLICES) -> {
+                    val slice = path.removePrefix(Keys.SLICES).toIntOrNull()
+                    if (slice != null && slice in records.indices && value != null) seeSlice(SliceIndex(slice), SliceRecord.parse(value), stamp)
+                }
+
+                path.startsWith(Keys.HOSTS) -> {
+                    val (slice, part) = path.removePrefix(Keys.HOSTS).split('/').map { it.toIntOrNull() }.let { it.getOrNull(0) to it.getOrNull(1) }
+                    if (slice != null && slice in records.indices && part != null && value != null) {
+                        seePart(SliceIndex(slice), part, HostPart.parse(value), stamp)
                     }
                 }
             }
@@ -186,13 +227,9 @@
         val held = records[slice.value]
         if (held != null && held.stamp >= stamp) return
         records[slice.value] = Held(record, stamp)
-        hostSlices.values.removeIf { it == slice }
-        record.hosts.forEach { hostSlices[it.name] = slice }
-        held?.record?.hosts?.filter { old -> record.hosts.none { it.name == old.name } }?.forEach { onHostLeft(it.name) }
         val owner = owners[slice.value] ?: return
         if (record.owner == settings.label) {
             owner.sync(record, stamp)
-            owner.settle()
         } else {
             if (!owner.dropped) log.info("slice {}: taken over by {} under token {}", slice.value, record.owner, record.token)
             owner.dropped = true
@@ -200,13 +237,34 @@
         }
     }
 
-    /** Hosts that have left all slices lately: lists may still show them. */
-    private val departed = HashMap<String, Long>()
+    private fun seePart(slice: SliceIndex, index: Int, part: HostPart, stamp: Long) {
+        val held = parts[slice.value][index]
+        if (held != null && held.stamp >= stamp) return
+        parts[slice.value][index] = HeldPart(part, stamp)
+        val names = part.hosts.mapTo(HashSet()) { it.name }
+        for (old in held?.part?.hosts.orEmpty()) {
+            if (old.name !in names && hostSlices[old.name] == slice && hostsOf(slice).none { it.name == old.name }) {
+                hostSlices.remove(old.name)
+                departed[old.name] = clock.now()
+            }
+        }
+        for (host in part.hosts) {
+            hostSlices[host.name] = slice
+            departed.remove(host.name)
+        }
+        owners[slice.value]?.syncHosts()
+    }
 
-    private fun onHostLeft(host: String) {
-        departed[host] = clock.now()
+    /** The machines of a slice and where they are to move, for its owner. */
+    override fun machinesOf(slice: SliceIndex): Map<HostRecord, Int?> {
+        val all = LinkedHashMap<HostRecord, Int?>()
+        for (held in parts[slice.value].values) held.part.hosts.forEach { all[it] = held.part.leaving[it.name] }
+        return all
     }
 
+    /** Hosts that have left all slices lately: lists may still show them. */
+    private val departed = HashMap<String, Long>()
+
     fun departedLately(host: String): Boolean = departed.containsKey(host)
 
     private inline fun guarded(what: String, read: () -> Unit) {
@@ -223,9 +281,11 @@
 
     fun tick() {
         keepLease()
+        serveWaiting()
         if (!loaded) return
         val now = clock.now()
-        departed.values.removeIf { now - it > (settings.cloudLimits.listLagS * 3000 + 60_000).toLong() }
+        // Late copies of a machine's reports come for longer than its lease; lists show it for twice their lag.
+        departed.values.removeIf { now - it > ((settings.cloudLimits.listLagS + settings.workers.leaseS) * 3000 + 60_000).toLong() }
         if (fresh()) {
             claimNode()
             if (leader == null) claimLeader()
@@ -234,6 +294,8 @@
         owned().forEach { it.tick() }
     }
 
+    fun pump() = owned().forEach { it.pump() }
+
     private fun keepLease() {
         val now = clock.now()
         if (leaseAsked || now < leaseDue) return
@@ -329,7 +391,7 @@
         lastTaken[slice.value] = now
         val held = records[slice.value]
         val fresh = token + 1
-        val record = held?.record?.copy(owner = settings.label, token = fresh) ?: SliceRecord(settings.label, fresh, emptyList(), emptyMap())
+        val record = SliceRecord(settings.label, fresh)
         val guards = listOf(Guard(Keys.slice(slice.value), held?.stamp ?: 0L), Guard(Keys.TOKEN, tokenStamp))
         val writes = listOf(Write.Put(Keys.slice(slice.value), record.toFields()), Write.Put(Keys.TOKEN, mapOf("token" to fresh)))
         out.commit(
@@ -341,8 +403,9 @@
                     seeToken(fresh, outcome.epoch)
                     seeSlice(slice, record, outcome.epoch)
                     val owner = SliceOwner(slice, settings, tuning, clock, out, flavors, ::fresh, this)
+                    owner.sync(record, outcome.epoch)
                     owners[slice.value] = owner
-                    read(owner, record, outcome.epoch)
+                    read(owner)
                 } else {
                     // Mostly another node took the token we wanted. After a restart of all, every second counts.
                     taking[slice.value] = false
@@ -354,22 +417,41 @@
         )
     }
 
-    private fun read(owner: SliceOwner, record: SliceRecord, term: Long) {
+    /** Reads the progress of a slice just taken: stored before the new term, it cannot change any more. */
+    private fun read(owner: SliceOwner) {
         val slice = owner.index
-        out.list(Keys.liveOf(slice.value)) { items ->
-            out.get(Keys.totals(slice.value)) { totals ->
-                taking[slice.value] = false
-                if (owner.dropped) return@get
-                if (items == null || totals is Fetched.Failed) {
-                    owner.dropped = true
-                    owners[slice.value] = null
-                } else {
-                    val latest = records[slice.value]?.takeIf { it.stamp > term && it.record.owner == settings.label }
-                    owner.load(latest?.record ?: record, latest?.stamp ?: term, items, (totals as? Fetched.Found)?.item)
-                    owner.settle()
-                }
+        var pages: List<Item>? = null
+        var totals: Fetched = Fetched.Failed
+        var open = 2
+        val startedAt = clock.now()
+
+        fun finish(known: Boolean) {
+            taking[slice.value] = false
+            val read = pages
+            if (owner.dropped) return
+            if (!known || read == null || totals is Fetched.Failed) {
+                log.info("slice {}: could not be read; tried again", slice.value)
+                owner.dropped = true
+                owners[slice.value] = null
+                lastTaken[slice.value] = clock.now() - RETAKE_MS + RETRY_TAKE_MS * (settings.self.value + 1)
+            } else {
+                owner.load(jobs.liveOf(slice), read, (totals as? Fetched.Found)?.item)
+                log.info("slice {}: read in {} ms", slice.value, clock.now() - startedAt)
             }
         }
+
+        // A page may name a job that the watch has not told of yet: without the wait its tasks would run twice.
+        fun part() {
+            if (--open == 0) whenKnown { finish(it) }
+        }
+        out.list(Keys.pagesOf(slice.value)) {
+            pages = it
+            part()
+        }
+        out.get(Keys.totals(slice.value)) {
+            totals = it
+            part()
+        }
     }
 
     private fun seeToken(value: Long, stamp: Long) {
@@ -393,99 +475,144 @@
         refreshing[slice.value] = true
         out.get(Keys.slice(slice.value)) { fetched ->
             refreshing[slice.value] = false
-            if (fetched is Fetched.Found) {
-                see(fetched.item.path, fetched.item.value, fetched.item.stamp)
-                owners[slice.value]?.settle()
-            }
+            if (fetched is Fetched.Found) see(fetched.item.path, fetched.item.value, fetched.item.stamp)
         }
     }
 
-    private fun refreshToken() {
-        out.get(Keys.TOKEN) { if (it is Fetched.Found) see(it.item.path, it.item.value, it.item.stamp) }
-    }
+    private fun reread(path: String) = out.get(path) { if (it is Fetched.Found) see(it.item.path, it.item.value, it.item.stamp) }
+
+    private fun refreshToken() = reread(Keys.TOKEN)
 
     override fun removeHosts(slice: SliceIndex, hosts: Set<String>) {
-        val held = records[slice.value] ?: return
-        val leaving = hosts.filter { name -> held.record.hosts.any { it.name == name } }
-        if (leaving.isNotEmpty()) rewrite(slice, leaving.fold(held.record) { record, host -> record.without(host) }) {}
+        val term = records[slice.value]?.takeIf { it.record.owner == settings.label }?.stamp ?: return
+        for ((index, held) in parts[slice.value]) {
+            if (held.part.hosts.none { it.name in hosts }) continue
+            rewrite(slice, index, held.part.without(hosts), Guard(Keys.slice(slice.value), term), haste = Haste.LAZY) {}
+        }
     }
 
-    override fun handOver(slice: SliceIndex, host: String) {
+    /** Moves empty machines, as many as share a record and a destination; the others follow with the next call. */
+    override fun handOver(slice: SliceIndex, hosts: Collection<String>) {
         val from = records[slice.value] ?: return
-        val to = from.record.leaving[host]?.let { SliceIndex(it) } ?: return
+        val (index, held) = parts[slice.value].entries.firstOrNull { (_, held) -> hosts.any { it in held.part.leaving } } ?: return
+        val to = hosts.firstNotNullOfOrNull { held.part.leaving[it] }?.let { SliceIndex(it) } ?: return
         val target = records.getOrNull(to.value) ?: return
-        val machine = from.record.hosts.firstOrNull { it.name == host } ?: return
-        if (to == slice || writing[slice.value]) return
-        writing[slice.value] = true
-        // The other slice's owner must have a token above all that this machine has seen.
-        val fresh = token + 1
-        val left = from.record.without(host)
-        val grown = target.record.with(listOf(machine)).copy(token = fresh)
-        val guards = listOf(Guard(Keys.slice(slice.value), from.stamp), Guard(Keys.slice(to.value), target.stamp), Guard(Keys.TOKEN, tokenStamp))
-        val writes =
-            listOf(
-                Write.Put(Keys.slice(slice.value), left.toFields()),
-                Write.Put(Keys.slice(to.value), grown.toFields()),
-                Write.Put(Keys.TOKEN, mapOf("token" to fresh)),
-            )
+        if (to == slice) return
+        val moving = held.part.hosts.filter { it.name in hosts && held.part.leaving[it.name] == to.value }
+        val (toIndex, toHeld, grown) = roomIn(to, moving)
+        val moved = moving.filter { grown.holds(it.name) }.mapTo(HashSet()) { it.name }
+        val fromPath = Keys.hosts(slice.value, index)
+        val toPath = Keys.hosts(to.value, toIndex)
+        if (moved.isEmpty() || fromPath in writing || toPath in writing) return
+        val left = held.part.without(moved)
+        val guards = arrayListOf(Guard(Keys.slice(slice.value), from.stamp), Guard(fromPath, held.stamp), Guard(toPath, toHeld?.stamp ?: 0L))
+        val writes = arrayListOf<Write>(Write.Put(fromPath, left.toFields()), Write.Put(toPath, grown.toFields()))
+        // The other slice's owner must have a token above all that these machines have seen, which is at most ours.
+        val renewed = if (target.record.token > from.record.token) null else target.record.copy(token = token + 1)
+        guards.add(Guard(Keys.slice(to.value), target.stamp))
+        if (renewed != null) {
+            guards.add(Guard(Keys.TOKEN, tokenStamp))
+            writes.add(Write.Put(Keys.slice(to.value), renewed.toFields()))
+            writes.add(Write.Put(Keys.TOKEN, mapOf("token" to renewed.token)))
+        }
+        writing.add(fromPath)
+        writing.add(toPath)
         out.commit(
             Change(guards, writes) { outcome ->
-                writing[slice.value] = false
+                writing.remove(fromPath)
+                writing.remove(toPath)
                 if (outcome is Outcome.Applied) {
-                    log.info("{}: moved from slice {} to slice {}", host, slice.value, to.value)
-                    seeToken(fresh, outcome.epoch)
-                    seeSlice(slice, left, outcome.epoch)
-                    seeSlice(to, grown, outcome.epoch)
+                    log.info("{}: moved from slice {} to slice {}", moved, slice.value, to.value)
+                    if (renewed != null) {
+                        seeToken(renewed.token, outcome.epoch)
+                        seeSlice(to, renewed, outcome.epoch)
+                    }
+                    seePart(to, toIndex, grown, outcome.epoch)
+                    seePart(slice, index, left, outcome.epoch)
                 } else {
                     refresh(slice)
                     refresh(to)
                     refreshToken()
+                    reread(fromPath)
+                    reread(toPath)
                 }
             },
         )
     }
 
-    /** The leader gives machines to a slice; [seen] is the highest token that any of them has seen. */
-    fun addHosts(slice: SliceIndex, hosts: List<HostRecord>, seen: Long, done: (Boolean) -> Unit) {
-        val held = records[slice.value]
-        if (held == null || writing[slice.value]) {
-            done(false)
+    private data class Grown(val index: Int, val held: HeldPart?, val part: HostPart)
+
+    /** The first record of a slice's machines, or a new one, that has room for some of [hosts], with them in it. */
+    private fun roomIn(slice: SliceIndex, hosts: List<HostRecord>): Grown {
+        val bytes = settings.stateLimits.valueBytes
+        for ((index, held) in parts[slice.value]) {
+            val grown = held.part.with(hosts, bytes)
+            if (grown.hosts.size > held.part.hosts.size) return Grown(index, held, grown)
+        }
+        return Grown((parts[slice.value].keys.maxOrNull() ?: -1) + 1, null, HostPart.EMPTY.with(hosts, bytes))
+    }
+
+    /** The leader gives machines to a slice; [seen] is the highest token that any of them has seen. [done] tells which were. */
+    fun addHosts(slice: SliceIndex, hosts: List<HostRecord>, seen: Long, done: (Set<String>) -> Unit) {
+        val owner = records[slice.value]
+        val (index, held, grown) = roomIn(slice, hosts)
+        val names = hosts.mapTo(HashSet()) { it.name }.apply { removeIf { !grown.holds(it) } }
+        if (owner == null || names.isEmpty()) {
+            done(emptySet())
             return
         }
-        if (seen <= held.record.token) {
-            rewrite(slice, held.record.with(hosts), done = done)
+        val lead = Guard(Keys.LEADER, leaderStamp)
+        val sofar = held ?: HeldPart(HostPart.EMPTY, 0L)
+        if (seen <= owner.record.token) {
+            rewrite(slice, index, grown, lead, sofar) { done(if (it) names else emptySet()) }
             return
         }
-        val fresh = token + 1
-        rewrite(slice, held.record.with(hosts).copy(token = fresh), Guard(Keys.TOKEN, tokenStamp), Write.Put(Keys.TOKEN, mapOf("token" to fresh)), done)
+        val renewed = owner.record.copy(token = maxOf(token, seen) + 1)
+        val guards = listOf(Guard(Keys.TOKEN, tokenStamp), Guard(Keys.slice(slice.value), owner.stamp))
+        val writes = listOf(Write.Put(Keys.slice(slice.value), renewed.toFields()), Write.Put(Keys.TOKEN, mapOf("token" to renewed.token)))
+        rewrite(slice, index, grown, lead, sofar, guards, writes) { ok ->
+            if (!ok) refreshToken()
+            done(if (ok) names else emptySet())
+        }
     }
 
     /** The leader marks machines that are to leave for another slice as soon as they are empty. */
     fun markLeaving(slice: SliceIndex, hosts: Collection<String>, to: SliceIndex) {
-        val held = records[slice.value] ?: return
-        rewrite(slice, held.record.copy(leaving = held.record.leaving + hosts.associateWith { to.value })) {}
+        for ((index, held) in parts[slice.value]) {
+            val mine = held.part.hosts.filter { it.name in hosts }
+            if (mine.isEmpty()) continue
+            var marks = mine.size
+            fun marked() = held.part.copy(leaving = held.part.leaving + mine.take(marks).associate { it.name to to.value })
+            while (marks > 0 && Tree.jsonSize(marked().toFields()) > settings.stateLimits.valueBytes * MARKED) marks /= 2
+            if (marks > 0) rewrite(slice, index, marked(), Guard(Keys.LEADER, leaderStamp)) {}
+        }
     }
 
-    private fun rewrite(slice: SliceIndex, record: SliceRecord, moreGuard: Guard? = null, moreWrite: Write? = null, done: (Boolean) -> Unit) {
-        val held = records[slice.value]
-        if (held == null || writing[slice.value]) {
+    private fun rewrite(
+        slice: SliceIndex,
+        index: Int,
+        part: HostPart,
+        entitled: Guard,
+        held: HeldPart? = parts[slice.value][index],
+        moreGuards: List<Guard> = emptyList(),
+        moreWrites: List<Write.Put> = emptyList(),
+        haste: Haste = Haste.PROMPT,
+        done: (Boolean) -> Unit,
+    ) {
+        val path = Keys.hosts(slice.value, index)
+        if (held == null || !writing.add(path)) {
             done(false)
             return
         }
-        writing[slice.value] = true
-        val leaderGuard = if (held.record.owner == settings.label) null else Guard(Keys.LEADER, leaderStamp)
         out.commit(
-            Change(
-                listOfNotNull(Guard(Keys.slice(slice.value), held.stamp), leaderGuard, moreGuard),
-                listOfNotNull(Write.Put(Keys.slice(slice.value), record.toFields()), moreWrite),
-            ) { outcome ->
-                writing[slice.value] = false
+            Change(listOf(Guard(path, held.stamp), entitled) + moreGuards, listOf(Write.Put(path, part.toFields())) + moreWrites, haste) { outcome ->
+                writing.remove(path)
                 if (outcome is Outcome.Applied) {
-                    if (moreWrite != null) seeToken(record.token, outcome.epoch)
-                    seeSlice(slice, record, outcome.epoch)
+                    moreWrites.forEach { see(it.path, it.value, outcome.epoch) }
+                    seePart(slice, index, part, outcome.epoch)
                 } else {
+                    reread(path)
                     refresh(slice)
-                    if (moreWrite != null) refreshToken()
                 }
                 done(outcome is Outcome.Applied)
             },
@@ -493,8 +620,9 @@
     }
 
     private companion object {
-        const val NODE_PREFIX = "c/node/"
-        const val SLICE_PREFIX = "c/slice/"
+        const val MARKED = 0.95
+        const val MAX_WAITING = 1_000
+        const val KNOWN_WITHIN_MS = 1_500L
         const val LEASE_MS = 4_000L
         const val FRESH_MS = 6_000L
         const val CLOCK_DRIFT = 0.001
--- a/src/main/kotlin/io/reedmast/peers/PeerLink.kt
+++ b/src/main/kotlin/io/reedmast/peers/PeerLink.kt
@@ -3,6 +3,7 @@
 import okio.Buffer
 import okio.BufferedSink
 import okio.BufferedSource
+import okio.ByteString.Companion.encodeUtf8
 import okio.IOException
 import okio.buffer
 import okio.sink
@@ -15,36 +16,57 @@
 import java.util.concurrent.RejectedExecutionException
 
 /** How far a job is, as its slice's owner knows it. */
-data class Progress(val done: Int, val running: Int)
+data class Progress(val ref: String, val done: Int, val running: Int)
 
 /**
- * Frames between controllers: a length, then the message. A question is a job id; the answer is empty if the node does
- * not have the job, or two counts.
+ * Frames between controllers: a length, then entries of a job id with its length, and two counts. Nothing is answered:
+ * what an owner tells of its jobs is for display, and told again when it changes.
  */
 internal object Frames {
-    private const val MAX_FRAME = 4096
+    private const val MAX_FRAME = 64 * 1024
+    private const val MAX_REF = 255
 
-    fun write(sink: BufferedSink, message: Buffer) {
+    /** As many frames as [progress] takes. */
+    fun write(sink: BufferedSink, progress: List<Progress>) {
+        val message = Buffer()
+        for (of in progress) {
+            val ref = of.ref.encodeUtf8()
+            if (ref.size > MAX_REF) continue
+            if (message.size + ref.size + 1 + 2 * Int.SIZE_BYTES > MAX_FRAME) send(sink, message)
+            message.writeByte(ref.size).write(ref).writeInt(of.done).writeInt(of.running)
+        }
+        send(sink, message)
+        sink.flush()
+    }
+
+    private fun send(sink: BufferedSink, message: Buffer) {
         sink.writeInt(message.size.toInt())
         sink.write(message, message.size)
-        sink.flush()
     }
 
-    fun read(source: BufferedSource): Buffer {
+    fun read(source: BufferedSource): List<Progress> {
         val size = source.readInt()
         if (size !in 0..MAX_FRAME) throw IOException("a frame of $size bytes")
         val message = Buffer()
         source.readFully(message, size.toLong())
-        return message
+        val progress = ArrayList<Progress>()
+        while (!message.exhausted()) {
+            val ref = message.readUtf8((message.readByte().toInt() and 0xff).toLong())
+            progress.add(Progress(ref, message.readInt(), message.readInt()))
+        }
+        return progress
     }
 }
 
-/** Answers the questions of the other controllers. */
-class PeerServer(private val address: InetSocketAddress, private val connections: Executor, private val progress: (String) -> Progress?) {
+/** Hears what the other controllers tell. */
+class PeerServer(private val address: InetSocketAddress, private val connections: Executor, private val heard: (List<Progress>) -> Unit) {
     private val log = LoggerFactory.getLogger("peers")
 
     /** Opens the port; the accepting loop is [run]. */
-    fun open(): ServerSocket = ServerSocket().apply { bind(address) }
+    fun open(): ServerSocket = ServerSocket().apply {
+        reuseAddress = true
+        bind(address)
+    }
 
     fun run(server: ServerSocket) {
         while (true) {
@@ -68,15 +90,8 @@
         socket.use {
             try {
                 socket.soTimeout = IDLE_MS
-                socket.tcpNoDelay = true
                 val source = socket.source().buffer()
-                val sink = socket.sink().buffer()
-                while (true) {
-                    val known = progress(Frames.read(source).readUtf8())
-                    val answer = Buffer()
-                    if (known != null) answer.writeInt(known.done).writeInt(known.running)
-                    Frames.write(sink, answer)
-                }
+                while (true) heard(Frames.read(source))
             } catch (e: IOException) {
                 log.debug("a peer's connection ends: {}", e.message)
             }
@@ -92,30 +107,27 @@
 /** A connection to one other controller, opened when first needed and again after it broke. */
 class PeerClient(private val address: InetSocketAddress) {
     private class Open(val socket: Socket) {
-        val source = socket.source().buffer()
         val sink = socket.sink().buffer()
     }
 
     private var open: Open? = null
 
-    /** What the other controller knows of the job; null if it knows nothing or does not answer in time. */
+    /** False if the other controller cannot be reached now. */
     @Synchronized
-    fun progress(ref: String): Progress? = try {
+    fun tell(progress: List<Progress>): Boolean = try {
         val link = open ?: connect().also { open = it }
-        Frames.write(link.sink, Buffer().writeUtf8(ref))
-        val answer = Frames.read(link.source)
-        if (answer.size == 2L * Int.SIZE_BYTES) Progress(answer.readInt(), answer.readInt()) else null
+        Frames.write(link.sink, progress)
+        true
     } catch (e: IOException) {
         open?.socket?.close()
         open = null
-        null
+        false
     }
 
     private fun connect(): Open {
         val socket = Socket()
         try {
             socket.connect(address, CONNECT_MS)
-            socket.soTimeout = READ_MS
             socket.tcpNoDelay = true
             return Open(socket)
         } catch (e: IOException) {
@@ -126,6 +138,5 @@
 
     private companion object {
         const val CONNECT_MS = 300
-        const val READ_MS = 500
     }
 }
--- a/src/main/kotlin/io/reedmast/placement/Choice.kt
+++ b/src/main/kotlin/io/reedmast/placement/Choice.kt
@@ -30,19 +30,18 @@
 }
 
 /**
- * The machine on which a task of [job] should start now, or null. Lower scores are better.
+ * The one of [machines], all of them usable, on which a task of [job] should start now, or null. Lower scores are better.
  *
  * Work that may use spot machines keeps an ordinary one that is [dear] from becoming empty only if it is [late].
  */
-fun choose(job: Job, machines: Collection<Machine>, late: Boolean, dear: (Flavor, JobSpec) -> Boolean): Machine? {
+fun choose(job: Job, machines: List<Machine>, late: Boolean, dear: (Flavor, Job) -> Boolean): Machine? {
     val spec = job.spec
     var best: Machine? = null
     var bestScore = Double.MAX_VALUE
     for (machine in machines) {
-        if (!machine.usable || machine.warningUntil != 0L) continue
         if (!machine.fits(spec.cpus, spec.gpus, spec.memGb)) continue
         if (!allows(spec, machine.record.build, machine.record.yard, machine.record.driftwood)) continue
-        if (!late && spec.driftwood && !machine.record.driftwood && !machine.held && machine.flavor?.let { dear(it, spec) } == true) continue
+        if (!late && spec.driftwood && !machine.record.driftwood && !machine.held && machine.flavor?.let { dear(it, job) } == true) continue
         if (machine in job.failedOn || !zonesAllow(job, machine.record.yard)) continue
         val score = score(spec, machine)
         if (score < bestScore) {
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/placement/Placer.kt
@@ -0,0 +1,186 @@
+package io.reedmast.placement
+
+import io.reedmast.fairshare.Request
+import io.reedmast.fairshare.Runner
+import io.reedmast.fairshare.funded
+import io.reedmast.fairshare.mayYield
+import io.reedmast.fleet.Wants
+import io.reedmast.fleet.isDear
+import io.reedmast.jobs.Job
+import io.reedmast.jobs.Placement
+import io.reedmast.jobs.SliceBook
+import io.reedmast.jobs.StopReason
+import io.reedmast.settings.TeamIndex
+import io.reedmast.wire.Flavor
+import io.reedmast.workers.Commands
+import io.reedmast.workers.Machine
+import org.slf4j.LoggerFactory
+
+/** Queue order, placement and preemption: a pass over all that waits, at a bounded rate. */
+class Placer(private val book: SliceBook, private val commands: Commands, private val wants: Wants) {
+    private val log = LoggerFactory.getLogger("slice")
+    private var attempts = 0L
+    private var nextPass = 0L
+
+    /** Passes made so far, for those who count work. */
+    var passes = 0L
+        private set
+
+    fun passIfDue(now: Long) {
+        if (!book.placeWanted || now < nextPass || !book.fresh()) return
+        book.placeWanted = false
+        nextPass = now + PASS_EVERY_MS
+        passes++
+        pass(now)
+    }
+
+    /** One attempt at one shape of task: what found no room finds none later in the same pass, since none is freed. */
+    private data class Shape(
+        val cpus: Double,
+        val gpus: Double,
+        val memGb: Double,
+        val driftwood: Boolean,
+        val builds: List<String>?,
+        val yard: String?,
+        val late: Boolean,
+    )
+
+    /** Funded work before uncharged work; teams within their guarantee first, then by charged use against allocation. */
+    private fun pass(now: Long) {
+        val ready = book.jobs.values.filter { it.waitingCount > 0 && !it.ending && now >= it.notBefore }
+        if (ready.isEmpty()) return
+        val machines = candidates(now)
+        val wall = book.clock.wall()
+        val full = HashSet<Shape>()
+        val placed = HashMap<Job, Int>()
+        for (funded in listOf(true, false)) {
+            val queues =
+                ready
+                    .filter { it.spec.rank.funded == funded }
+                    .groupBy { it.team }
+                    .mapValuesTo(LinkedHashMap()) { (_, list) -> ArrayDeque(list.sortedWith(compareBy({ it.spec.rank }, { book.dueMs(it) }))) }
+            while (queues.isNotEmpty()) {
+                val team = first(queues, wall)
+                val queue = queues.getValue(team)
+                val job = queue.first()
+                if (placeOne(job, machines, full, now)) placed.merge(job, 1, Int::plus) else queue.removeFirst()
+                if (queue.isEmpty()) queues.remove(team)
+            }
+        }
+        for ((job, count) in placed) log.info("{}: {} placed", job.spec.ref, count)
+        preempt(ready, wall)
+    }
+
+    private fun first(queues: Map<TeamIndex, ArrayDeque<Job>>, wall: Long): TeamIndex {
+        if (queues.size == 1) return queues.keys.first()
+        return queues.keys.minWith(compareBy({ t -> !book.within(t, queues.getValue(t).first().spec) }, { t -> book.ratio(t, wall) }))
+    }
+
+    /** Machines whose report is overdue may be gone or hang; unless most are overdue, which would be this node's fault. */
+    private fun candidates(now: Long): List<Machine> {
+        val usable = book.machines.values.filter { it.usable && it.warningUntil == 0L }
+        val heard = usable.filter { now - it.lastHeardAt <= book.reportOverdueMs }
+        return if (heard.size * 2 >= usable.size) heard else usable
+    }
+
+    /** True if a task was placed and the job may have another one to place. */
+    private fun placeOne(job: Job, machines: List<Machine>, full: MutableSet<Shape>, now: Long): Boolean {
+        if (job.waitingCount <= 0 || book.allowance(job) < 1) return false
+        val task = job.nextWaiting()
+        if (task < 0) return false
+        val spec = job.spec
+        val late = book.late(job)
+        // Jobs with rules of their own for zones or machines may fail where others of their shape would not.
+        val shape = if (spec.oneZone || spec.apart || job.failedOn.isNotEmpty()) {
+            null
+        } else {
+            Shape(spec.cpus, spec.gpus, spec.memGb, spec.driftwood, spec.builds, spec.yard, late)
+        }
+        if (shape != null && shape in full) return false
+        val machine = choose(job, machines, late, ::dear)
+        if (machine == null) {
+            if (shape != null) full.add(shape)
+            return false
+        }
+        val attempt = (book.token shl ATTEMPT_BITS) + ++attempts
+        val placement = Placement(job, task, attempt, machine, now)
+        book.place(placement)
+        book.touched(job.chunkOf(task))
+        log.debug("{} try {}: placed on {}", placement.id, attempt, machine.name)
+        return true
+    }
+
+    private fun dear(flavor: Flavor, job: Job): Boolean =
+        job.dearFlavors.getOrPut(flavor.label) { isDear(flavor, book.flavors, job.spec.cpus, job.spec.gpus, job.spec.memGb) }
+
+    /** Stops work for requests that cannot fit otherwise, one machine at a time and never twice for the same request. */
+    private fun preempt(ready: List<Job>, wall: Long) {
+        val holding = book.machines.values.filter { m -> m.usable && m.warningUntil == 0L && m.placements.values.any { yieldable(it) } }
+        if (holding.isEmpty()) return
+        val coming = wants.coming()
+        var tries = 0
+        for (job in ready) {
+            if (!job.spec.rank.funded || job.waitingCount <= job.preempting || book.allowance(job) <= job.preempting) continue
+            // What only has to be done some time fits on the machines that are on their way; what has to start soon does not.
+            if (!book.startsSoon(job) && wants.comingHolds(job, coming)) continue
+            if (++tries > MOST_PREEMPTING) break
+            val request = Request(job.spec.rank, book.within(job.team, job.spec), book.ratio(job.team, wall))
+            for (machine in holding) {
+                if (job.waitingCount <= job.preempting) break
+                if (!zonesAllow(job, machine.record.yard)) continue
+                if (!allows(job.spec, machine.record.build, machine.record.yard, machine.record.driftwood)) continue
+                if (machine.placements.values.any { it.stopReason != null }) continue
+                val victims = victims(job, machine, request, wall) ?: continue
+                for (victim in victims) {
+                    log.info("{}: yields to {} on {}", victim.id, job.spec.ref, machine.name)
+                    commands.stop(victim, StopReason.PREEMPTED)
+                    job.preempting++
+                    book.preemptedFor[victim] = job
+                }
+            }
+        }
+    }
+
+    /** Whether the work yields to anything at all: funded work that cannot resume never does. */
+    private fun yieldable(placement: Placement) = !placement.job.spec.rank.funded || placement.job.spec.resumable
+
+    private fun victims(job: Job, machine: Machine, request: Request, wall: Long): List<Placement>? {
+        var cpus = machine.freeCpus
+        var gpus = machine.freeGpus
+        var memGb = machine.freeMemGb
+        fun enough() = cpus + Machine.EPSILON >= job.spec.cpus && gpus + Machine.EPSILON >= job.spec.gpus && memGb + Machine.EPSILON >= job.spec.memGb
+        val chosen = ArrayList<Placement>()
+        val candidates =
+            machine.placements.values
+                .filter { it.stopReason == null && yieldable(it) && mayYield(runner(it, job, wall), request) }
+                .sortedByDescending { it.madeAt }
+        for (victim in candidates) {
+            if (enough()) break
+            chosen.add(victim)
+            cpus += victim.job.spec.cpus
+            gpus += victim.job.spec.gpus
+            memGb += victim.job.spec.memGb
+        }
+        return if (enough() && chosen.isNotEmpty()) chosen else null
+    }
+
+    private fun runner(placement: Placement, job: Job, wall: Long): Runner {
+        val spec = placement.job.spec
+        val cap = book.tuning.protectCapS
+        return Runner(
+            rank = spec.rank,
+            resumable = spec.resumable,
+            sameTeam = placement.job.team == job.team,
+            ranForS = (book.clock.now() - placement.madeAt) / 1000.0,
+            minimumS = minOf(cap, if (spec.guessS > 0) spec.guessS else cap),
+            teamBeyondGuarantee = book.beyondGuarantee(placement.job.team),
+            teamRatio = book.ratio(placement.job.team, wall),
+        )
+    }
+
+    private companion object {
+        const val PASS_EVERY_MS = 100L
+        const val ATTEMPT_BITS = 22
+        const val MOST_PREEMPTING = 50
+    }
+}
--- a/src/main/kotlin/io/reedmast/state/Change.kt
+++ b/src/main/kotlin/io/reedmast/state/Change.kt
@@ -25,13 +25,22 @@
     data class Refused(val reason: String) : Outcome
 }
 
+/** What goes first when the state service takes fewer changes than there are. */
+enum class Haste {
+    /** Somebody waits for it: an acceptance, a placement, the end of a job. */
+    PROMPT,
+
+    /** It only saves repeated work, or clears away. */
+    LAZY,
+}
+
 /**
  * Writes that are applied together or not at all.
  *
  * Every key written must be guarded by its own stamp: a transaction that got no answer may be applied minutes later,
  * and it must then find that its keys have moved on.
  */
-class Change(val guards: List<Guard>, val writes: List<Write>, val done: (Outcome) -> Unit) {
+class Change(val guards: List<Guard>, val writes: List<Write>, val haste: Haste = Haste.PROMPT, val done: (Outcome) -> Unit) {
     init {
         val guarded = guards.mapTo(HashSet()) { it.path }
         require(writes.all { it.path in guarded }) { "a key is written without its own guard" }
@@ -73,23 +82,29 @@
     const val CLUSTER = "c/"
     const val LEADER = "c/leader"
     const val TOKEN = "c/token"
-    const val REFS = "ref/"
-
-    fun slice(index: Int) = "c/slice/$index"
+    const val NODES = "c/node/"
+    const val SLICES = "c/slice/"
+    const val HOSTS = "c/hosts/"
+
+    /** Jobs, unfinished and ended: watched by every node. */
+    const val JOBS = "j/"
+    const val LIVE = "j/live/"
+    const val ENDS = "j/end/"
+    const val TOTALS = "totals/"
 
-    fun node(label: String) = "c/node/$label"
+    fun slice(index: Int) = "$SLICES$index"
 
-    fun ref(ref: String) = "$REFS$ref"
+    fun hosts(slice: Int, part: Int) = "$HOSTS$slice/$part"
 
-    fun liveOf(slice: Int) = "live/$slice/"
+    fun node(label: String) = "$NODES$label"
 
-    fun live(slice: Int, ref: String) = "live/$slice/$ref"
+    fun live(slice: Int, ref: String) = "$LIVE$slice/$ref"
 
-    fun chunk(slice: Int, ref: String, index: Int) = "live/$slice/$ref/c$index"
+    fun end(ref: String) = "$ENDS$ref"
 
-    fun abortMark(slice: Int, ref: String) = "live/$slice/$ref/x"
+    fun pagesOf(slice: Int) = "page/$slice/"
 
-    const val TOTALS = "totals/"
+    fun page(slice: Int, index: Int) = "page/$slice/$index"
 
     fun totals(slice: Int) = "$TOTALS$slice"
 }
--- a/src/main/kotlin/io/reedmast/state/Committer.kt
+++ b/src/main/kotlin/io/reedmast/state/Committer.kt
@@ -14,9 +14,10 @@
  * been applied.
  */
 class Committer(private val client: StateClient, private val limits: StateLimits, private val maxQueued: Int, private val deliver: (Change, Outcome) -> Unit) {
+    private val budget = client.budget
     private val log = LoggerFactory.getLogger("state")
     private val lock = Object()
-    private val queue = ArrayDeque<Change>()
+    private val queues = Haste.entries.map { ArrayDeque<Change>() }
 
     @Volatile
     private var lastAnswered = true
@@ -27,6 +28,7 @@
     /** False if the queue is full; only changes asked for from outside may be refused. */
     fun offer(change: Change, refusable: Boolean): Boolean {
         synchronized(lock) {
+            val queue = queues[change.haste.ordinal]
             if (refusable && queue.size >= maxQueued) return false
             queue.add(change)
             lock.notify()
@@ -39,33 +41,60 @@
         while (!Thread.currentThread().isInterrupted) settle(takeBatch())
     }
 
+    /** What goes out next, paid for from the budget: prompt changes first, as many as fit one transaction. */
     private fun takeBatch(): List<Change> {
         synchronized(lock) {
-            while (queue.isEmpty()) lock.wait()
-            val batch = ArrayList<Change>()
-            var ops = 0
-            var bytes = 0
-            val guards = HashMap<String, Long>()
-            val written = HashSet<String>()
-            while (queue.isNotEmpty()) {
-                val next = queue.peek()
-                val size =
-                    next.writes.sumOf { if (it is Write.Put) Tree.jsonSize(it.value) + it.path.length else it.path.length } + next.guards.size * GUARD_BYTES
-                val newGuards = next.guards.count { it.path !in guards }
-                // Two changes that disagree about a key, or write the same one, cannot share a transaction.
-                val clash =
-                    next.guards.any { g -> guards[g.path]?.let { it != g.stamp } ?: false } || next.guards.any { it.path in written } ||
-                        next.writes.any { it.path in guards }
-                val fits = ops + next.writes.size <= limits.opsPerCommit && guards.size + newGuards <= limits.opsPerCommit * 4 && bytes + size <= MAX_BYTES
-                if (batch.isNotEmpty() && (clash || !fits)) break
+            while (true) {
+                val queue = queues.firstOrNull { it.isNotEmpty() }
+                if (queue == null) {
+                    lock.wait()
+                    continue
+                }
+                val first = queue.peek()
+                val wait = budget.take(first.writes.size, first.haste)
+                if (wait > 0L) {
+                    lock.wait(wait)
+                    continue
+                }
                 queue.poll()
-                batch.add(next)
-                ops += next.writes.size
-                bytes += size
-                next.guards.forEach { guards[it.path] = it.stamp }
-                next.writes.forEach { written.add(it.path) }
+                val batch = Batch(limits).apply { add(first) }
+                while (true) {
+                    val next = queue.peek() ?: break
+                    if (!batch.accepts(next) || budget.take(next.writes.size, next.haste) > 0L) break
+                    batch.add(queue.poll())
+                }
+                return batch.changes
             }
-            return batch
+        }
+    }
+
+    /** Changes that can share a transaction. */
+    private class Batch(private val limits: StateLimits) {
+        val changes = ArrayList<Change>()
+        private var ops = 0
+        private var bytes = 0
+        private val guards = HashMap<String, Long>()
+        private val written = HashSet<String>()
+
+        private fun size(change: Change) =
+            change.writes.sumOf { if (it is Write.Put) Tree.jsonSize(it.value) + it.path.length else it.path.length } + change.guards.size * GUARD_BYTES
+
+        /** Two changes that disagree about a key, or write the same one, cannot share a transaction. */
+        fun accepts(next: Change): Boolean {
+            val newGuards = next.guards.count { it.path !in guards }
+            if (ops + next.writes.size > limits.opsPerCommit || guards.size + newGuards > limits.opsPerCommit * 4) return false
+            val clash =
+                next.guards.any { g -> guards[g.path]?.let { it != g.stamp } ?: false } || next.guards.any { it.path in written } ||
+                    next.writes.any { it.path in guards }
+            return !clash && bytes + size(next) <= MAX_BYTES
+        }
+
+        fun add(change: Change) {
+            changes.add(change)
+            ops += change.writes.size
+            bytes += size(change)
+            change.guards.forEach { guards[it.path] = it.stamp }
+            change.writes.forEach { written.add(it.path) }
         }
     }
 
@@ -118,6 +147,13 @@
                     return
                 }
 
+                is CommitReply.Limited -> {
+                    // Sent again hot, it would only keep the limit exceeded.
+                    budget.empty()
+                    Thread.sleep(pause + ThreadLocalRandom.current().nextLong(pause))
+                    pause = minOf(pause * 2, MAX_PAUSE_MS)
+                }
+
                 is CommitReply.NotExecuted, is CommitReply.Unknown -> {
                     if (reply is CommitReply.Unknown) unsure = true
                     lastAnswered = false
@@ -130,7 +166,9 @@
 
     /** After a missing answer and a failed repeat: the epoch of the first copy, 0 if it was not applied, null if unknown. */
     private fun appliedBefore(batch: List<Change>): Long? {
-        val write = batch.first().writes.first()
+        // A put shows by its stamp when it was applied; a deletion only shows that it was.
+        val writes = batch.flatMap { it.writes }
+        val write = writes.firstOrNull { it is Write.Put } ?: writes.first()
         return when (val now = client.get(write.path)) {
             is Fetched.Failed -> null
             is Fetched.Missing -> if (write is Write.Delete) 1L else 0L
--- a/src/main/kotlin/io/reedmast/state/StateClient.kt
+++ b/src/main/kotlin/io/reedmast/state/StateClient.kt
@@ -39,6 +39,9 @@
     /** Certainly not executed: worth sending again after a pause. */
     data object NotExecuted : CommitReply
 
+    /** Not executed, for a limit: the service is there, and wants less. */
+    data object Limited : CommitReply
+
     /** May have been executed, or may yet be. */
     data object Unknown : CommitReply
 }
@@ -47,12 +50,12 @@
 class StateClient(private val address: String, private val limits: StateLimits, nodes: Int, private val caller: Caller) {
     private val log = LoggerFactory.getLogger("state")
     private val requests = RateLimiter.create(limits.requestsPerS * SAFETY / nodes)
-    private val changes = RateLimiter.create(limits.writesPerS * SAFETY / nodes)
+    val budget = WriteBudget(limits.writesPerS * SAFETY / nodes) { System.nanoTime() / 1_000_000 }
 
     /** Nodes that are down leave their part of the limits to the others. */
     fun shareAmong(nodes: Int) {
         requests.rate = limits.requestsPerS * SAFETY / nodes
-        changes.rate = limits.writesPerS * SAFETY / nodes
+        budget.setRate(limits.writesPerS * SAFETY / nodes)
     }
 
     fun get(path: String): Fetched {
@@ -88,20 +91,13 @@
     }
 
     fun commit(guards: Collection<Guard>, writes: List<Write>): CommitReply {
-        if (writes.isNotEmpty() && !changes.tryAcquire(writes.size, PATIENCE_MS, TimeUnit.MILLISECONDS)) return CommitReply.NotExecuted
         val body =
             mapOf(
                 "when" to guards.map { mapOf("path" to it.path, "stamp" to it.stamp) },
                 "writes" to
                     writes.map {
                         when (it) {
-                            is Write.Put -> if (it.lease ==
-                                null
-                            ) {
-                                mapOf("put" to it.path, "v" to it.value)
-                            } else {
-                                mapOf("put" to it.path, "v" to it.value, "holding" to it.lease)
-                            }
+                            is Write.Put -> mapOf("put" to it.path, "v" to it.value) + if (it.lease == null) emptyMap() else mapOf("holding" to it.lease)
                             is Write.Delete -> mapOf("delete" to it.path)
                         }
                     },
@@ -115,7 +111,8 @@
                         200 -> CommitReply.Applied(reply.body.count("epoch"))
                         409 -> CommitReply.Failed(reply.body.optionalTexts("failed").orEmpty().toSet())
                         400 -> CommitReply.Bad(reply.body["error"].toString())
-                        429, 503 -> CommitReply.NotExecuted
+                        429 -> CommitReply.Limited
+                        503 -> CommitReply.NotExecuted
                         else -> CommitReply.Unknown
                     }
                 }
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/state/WriteBudget.kt
@@ -0,0 +1,64 @@
+package io.reedmast.state
+
+/**
+ * This node's part of the state service's limit on changes: a bucket that fills at [perS] and holds a second's worth.
+ *
+ * A plain rate limiter would make an acceptance wait behind a large clean-up; here clean-up is asked to leave part of the
+ * bucket, and only a transaction larger than the whole bucket draws it below zero.
+ */
+class WriteBudget(perS: Double, private val nowMs: () -> Long) {
+    private var rate = perS
+    private var level = perS
+    private var filledAt = nowMs()
+
+    @Synchronized
+    fun setRate(perS: Double) {
+        fill()
+        rate = perS
+    }
+
+    /** How many changes may be made now. */
+    @Synchronized
+    fun room(): Double {
+        fill()
+        return level
+    }
+
+    /** The part of a full bucket that is left, at most 1. */
+    @Synchronized
+    fun fullness(): Double {
+        fill()
+        return level / maxOf(rate, 1.0)
+    }
+
+    /** Takes [count] and returns 0, or takes nothing and returns after how many milliseconds to ask again. */
+    @Synchronized
+    fun take(count: Int, haste: Haste): Long {
+        fill()
+        val full = maxOf(rate, 1.0)
+        val keep = if (haste == Haste.LAZY) full * KEPT_FOR_PROMPT else 0.0
+        val needed = minOf(count + keep, full)
+        if (level >= needed) {
+            level -= count
+            return 0L
+        }
+        return maxOf(1L, ((needed - level) / rate * 1000).toLong())
+    }
+
+    /** The service refused for its limit: our count of it was wrong, or others took more than their part. */
+    @Synchronized
+    fun empty() {
+        fill()
+        level = minOf(level, 0.0)
+    }
+
+    private fun fill() {
+        val now = nowMs()
+        level = minOf(maxOf(rate, 1.0), level + (now - filledAt) / 1000.0 * rate)
+        filledAt = now
+    }
+
+    private companion object {
+        const val KEPT_FOR_PROMPT = 0.4
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/workers/Commands.kt
@@ -0,0 +1,129 @@
+package io.reedmast.workers
+
+import io.reedmast.app.Outward
+import io.reedmast.jobs.Placement
+import io.reedmast.jobs.SliceBook
+import io.reedmast.jobs.StopReason
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Order
+import io.reedmast.wire.Reply
+import io.reedmast.wire.Report
+import org.slf4j.LoggerFactory
+
+/** Direct commands to workers. Launches also go out with the answers to reports, so none of these must arrive. */
+class Commands(private val book: SliceBook, private val out: Outward, private val take: (Machine, Report) -> Unit) {
+    private val log = LoggerFactory.getLogger("slice")
+    private val outbox = LinkedHashMap<Machine, MutableList<Order>>()
+    private var greetDue = 0L
+    private var greeting = false
+
+    fun begin() {
+        greetDue = book.clock.now() + GREET_AFTER_MS
+    }
+
+    fun launch(placement: Placement) {
+        if (placement.machine.trusted) outbox.getOrPut(placement.machine) { ArrayList() }.add(Order.Launch(placement.id, placement.attempt))
+    }
+
+    fun stop(placement: Placement, reason: StopReason) {
+        if (placement.stopReason == StopReason.ABORTED || placement.stopReason == reason) return
+        placement.stopReason = reason
+        if (reason != StopReason.ABORTED) log.info("{} try {}: to be stopped on {}: {}", placement.id, placement.attempt, placement.machine.name, reason)
+        val machine = placement.machine
+        if (placement.committed && machine.trusted && placement.launchTenure == machine.tenure) {
+            placement.stopSentAt = book.clock.now()
+            outbox.getOrPut(machine) { ArrayList() }.add(stopOrder(placement))
+        }
+    }
+
+    fun stopOrder(placement: Placement): Order.Stop {
+        val spec = placement.job.spec
+        val mercy = if (placement.stopReason == StopReason.ABORTED || !spec.resumable) 0.0 else spec.stowS + MERCY_SLACK_S
+        return Order.Stop(placement.id, placement.attempt, mercy)
+    }
+
+    /** Sends what has gathered for the workers. */
+    fun send() {
+        if (outbox.isEmpty()) return
+        val batches = LinkedHashMap(outbox)
+        outbox.clear()
+        for ((machine, orders) in batches) {
+            val addr = machine.addr
+            if (addr == null || !machine.trusted || machine.directCalls >= MAX_DIRECT_CALLS || !book.fresh() || seemsAway(machine)) continue
+            val token = book.token
+            val tenure = machine.tenure
+            val launches = orders.filterIsInstance<Order.Launch>()
+            for (order in launches) {
+                machine.inFlight.merge(order.id to order.attempt, 1, Int::plus)
+                machine.placements[order.id]?.takeIf { it.attempt == order.attempt }?.launchTenure = tenure
+            }
+            machine.directCalls++
+            out.direct(addr, token, tenure, orders) { reply ->
+                machine.directCalls--
+                for (order in launches) {
+                    machine.inFlight.computeIfPresent(order.id to order.attempt) { _, n -> if (n > 1) n - 1 else null }
+                    if (reply is Reply.Unanswered) machine.noteLate(order.id, order.attempt, LateLaunch(tenure, token))
+                }
+                if (reply is Reply.Answer) answered(machine, reply) else machine.mutedAt = book.clock.now()
+            }
+        }
+    }
+
+    /**
+     * Whether calling the machine would only hold a thread for seconds: it left a command unanswered since its last report,
+     * or its report is overdue. A few dozen hung machines would otherwise hold up the commands to all others.
+     */
+    private fun seemsAway(machine: Machine) = machine.mutedAt >= machine.lastHeardAt || book.clock.now() - machine.lastHeardAt > book.reportOverdueMs
+
+    private fun answered(machine: Machine, reply: Reply.Answer): Report? {
+        if (book.dropped || (reply.status != 200 && reply.status != 409)) return null
+        return try {
+            Report.parse(reply.body).also { if (it.host == machine.name) take(machine, it) }
+        } catch (e: MalformedException) {
+            log.error("the answer of {} cannot be read: {}", machine.name, e.message)
+            null
+        }
+    }
+
+    /**
+     * Shows our token to machines that have not reported since the slice was taken.
+     *
+     * Their workers may still report to the old owner, which answers them as long as it does not know better; having seen
+     * our token they drop its answers, and its commands reach them no more.
+     */
+    fun greet(now: Long) {
+        if (greetDue == 0L || now < greetDue || greeting) return
+        if (book.machines.values.none { toGreet(it) }) {
+            if (now - book.activeAt > GREET_FOR_MS) greetDue = 0L
+            return
+        }
+        greeting = true
+        greetDue = now + GREET_EVERY_MS
+        out.listHosts { hosts ->
+            greeting = false
+            if (book.dropped) return@listHosts
+            for (host in hosts.orEmpty()) {
+                val machine = book.machines[host.name]?.takeIf { toGreet(it) } ?: continue
+                greet(machine, host.addr ?: continue, machine.tenure, again = true)
+            }
+        }
+    }
+
+    private fun toGreet(machine: Machine) = !machine.trusted && machine.retirement == null && machine.placements.isNotEmpty()
+
+    private fun greet(machine: Machine, addr: String, tenure: Long, again: Boolean) {
+        out.direct(addr, book.token, tenure, emptyList()) { reply ->
+            val report = (reply as? Reply.Answer)?.let { answered(machine, it) }
+            // Refused for its session, which the answer tells.
+            if (report != null && again && report.baton < book.token) greet(machine, addr, report.tenure, again = false)
+        }
+    }
+
+    private companion object {
+        const val MAX_DIRECT_CALLS = 3
+        const val MERCY_SLACK_S = 1.0
+        const val GREET_AFTER_MS = 2_500L
+        const val GREET_EVERY_MS = 4_000L
+        const val GREET_FOR_MS = 30_000L
+    }
+}
--- a/src/main/kotlin/io/reedmast/workers/Machine.kt
+++ b/src/main/kotlin/io/reedmast/workers/Machine.kt
@@ -1,29 +1,22 @@
 package io.reedmast.workers
 
 import io.reedmast.jobs.Placement
-import io.reedmast.wire.Fields
 import io.reedmast.wire.Flavor
 import io.reedmast.wire.Report
 import io.reedmast.wire.TaskId
-import io.reedmast.wire.flag
-import io.reedmast.wire.text
 
-/** A machine as the slice record names it. */
-data class HostRecord(val name: String, val build: String, val yard: String, val driftwood: Boolean) {
-    fun toFields(): Fields = mapOf("host" to name, "build" to build, "yard" to yard, "spot" to driftwood)
-
-    companion object {
-        fun parse(fields: Fields) = HostRecord(fields.text("host"), fields.text("build"), fields.text("yard"), fields.flag("spot"))
-    }
-}
+/** A machine as the records of its slice name it. */
+data class HostRecord(val name: String, val build: String, val yard: String, val driftwood: Boolean)
 
 /** Why a machine is to go. */
 enum class Retirement {
     IDLE,
     SILENT,
+
+    /** Its reports arrive, and nothing reaches it. */
+    DEAF,
     NEVER_CAME,
     SICK,
-    NOTICE,
     MOVING,
 }
 
@@ -47,8 +40,20 @@
     var tenure = 0L
     var tally = -1L
     var baton = 0L
+
+    /** When the last report came that proves the worker to be alive: only one that shows our token does. */
     var lastHeardAt = firstSeenAt
     var everHeard = false
+
+    /** Reports answered since the worker last showed that an answer had reached it. */
+    var unheeded = 0
+
+    /** When the last report came that we answered, and since when they have come with no long gap. */
+    var answeredAt = 0L
+    var regularSince = 0L
+
+    /** When a direct command last went unanswered: no more are sent before the next report. */
+    var mutedAt = 0L
     var warningUntil = 0L
     var retirement: Retirement? = null
     var returning = false
@@ -81,15 +86,20 @@
     val freeMemGb: Double get() = (flavor?.memGb ?: 0.0) - usedMemGb - strayMemGb
     val hourly: Double get() = flavor?.let { if (record.driftwood) it.lowPrice ?: it.hourly else it.hourly } ?: 0.0
 
+    private var services = 0
+
     /** Services stay for long: while one is here, the machine is paid for anyway. */
-    val held: Boolean get() = placements.values.any { it.job.spec.service }
-    val usable: Boolean get() = trusted && retirement == null && !returning && flavor != null
+    val held: Boolean get() = services > 0
+
+    /** Whether work may be placed here. A machine that may not hear us gets no more of it. */
+    val usable: Boolean get() = trusted && retirement == null && !returning && flavor != null && unheeded < UNHEEDED_UNUSABLE
 
     fun add(placement: Placement) {
         placements[placement.id] = placement
         usedCpus += placement.job.spec.cpus
         usedGpus += placement.job.spec.gpus
         usedMemGb += placement.job.spec.memGb
+        if (placement.job.spec.service) services++
     }
 
     fun remove(placement: Placement) {
@@ -97,6 +107,7 @@
             usedCpus -= placement.job.spec.cpus
             usedGpus -= placement.job.spec.gpus
             usedMemGb -= placement.job.spec.memGb
+            if (placement.job.spec.service) services--
             if (placements.isEmpty()) {
                 // Sums of decimals drift; an empty machine is exactly empty.
                 usedCpus = 0.0
@@ -139,5 +150,11 @@
 
     companion object {
         const val EPSILON = 1e-9
+
+        /** Answers in a row that seem not to have arrived, from which on nothing more is placed: one may be on the way. */
+        private const val UNHEEDED_UNUSABLE = 3
+
+        /** From which on the machine is replaced. */
+        const val DEAF_AFTER = 5
     }
 }
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/workers/Upkeep.kt
@@ -0,0 +1,193 @@
+package io.reedmast.workers
+
+import io.reedmast.app.Outward
+import io.reedmast.fleet.Wants
+import io.reedmast.jobs.SliceBook
+import io.reedmast.jobs.StopReason
+import org.slf4j.LoggerFactory
+
+/** Which machines of a slice stay, move or go. */
+class Upkeep(
+    private val book: SliceBook,
+    private val out: Outward,
+    private val commands: Commands,
+    private val wants: Wants,
+    private val removeHosts: (Set<String>) -> Unit,
+    private val handOver: (Collection<String>) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("slice")
+    private val toReturn = LinkedHashSet<Machine>()
+    private var returnInFlight = false
+
+    /** Hosts that are returned but may still stand in the slice's records. */
+    private val gone = HashSet<String>()
+    private var removeDue = 0L
+
+    /** When this node last was unable to answer workers or to decide: silence before that says nothing. */
+    private var deafUntil = 0L
+
+    fun isGone(host: String) = host in gone
+
+    /** The slice's records now name [hosts] only. */
+    fun noteRecorded(hosts: Set<String>) {
+        gone.retainAll(hosts)
+    }
+
+    fun tick(now: Long) {
+        watch(now)
+        sendReturns()
+        if (gone.isNotEmpty() && now >= removeDue) {
+            removeDue = now + REMOVE_EVERY_MS
+            removeHosts(gone)
+        }
+    }
+
+    private fun watch(now: Long) {
+        if (!book.fresh()) {
+            // Workers are turned away during a long outage; after one, all of them would seem to have been silent.
+            deafUntil = now
+            return
+        }
+        val silentAfter = (book.settings.workers.reportS * 1000 * SILENT_REPORTS).toLong()
+        retireSilent(now, silentAfter)
+        retireDeaf()
+        val spare = wants.spareCpus(now)
+        val empty = ArrayList<String>()
+        for (machine in book.machines.values.toList()) {
+            val flavor = machine.flavor
+            if (!machine.everHeard && machine.retirement == null && flavor != null &&
+                now - machine.firstSeenAt > (flavor.startupS * LOST_BOOT_FACTOR + LOST_BOOT_S) * 1000
+            ) {
+                log.info("{}: has not come up in {} s; it is replaced", machine.name, (now - machine.firstSeenAt) / 1000)
+                machine.retirement = Retirement.NEVER_CAME
+            }
+            val warning = machine.warningUntil
+            if (warning != 0L) drain(machine, warning, now)
+            if (warning in 1..now && now - machine.lastHeardAt > book.reportOverdueMs && machine.retirement == null) {
+                log.info("{}: taken by the cloud, as it said; it is replaced", machine.name)
+                machine.retirement = Retirement.SILENT
+            }
+            when (machine.retirement) {
+                null -> if (idle(machine, now, spare)) retireIdle(machine, spare)
+
+                Retirement.SILENT, Retirement.DEAF, Retirement.NEVER_CAME -> giveBack(machine)
+
+                Retirement.SICK -> if (machine.placements.isEmpty() || now - machine.lastHeardAt > silentAfter) giveBack(machine) else drainSick(machine)
+
+                Retirement.IDLE -> if (machine.placements.isEmpty()) giveBack(machine) else machine.retirement = null
+
+                Retirement.MOVING -> {
+                    if (machine.placements.isEmpty() && machine.inFlight.isEmpty()) empty.add(machine.name)
+                    if (now - machine.lastHeardAt > silentAfter * 2 && machine.everHeard) machine.retirement = Retirement.SILENT
+                }
+            }
+        }
+        if (empty.isNotEmpty()) handOver(empty)
+    }
+
+    private fun retireSilent(now: Long, silentAfter: Long) {
+        // A machine that was up before we took the slice must show itself to us too, and may need a greeting for that.
+        val heard = book.machines.values.filter { it.everHeard || it.placements.isNotEmpty() }
+        val silent = heard.filter { now - maxOf(it.lastHeardAt, book.activeAt + silentAfter / 2, deafUntil + silentAfter) > silentAfter }
+        // If most machines are silent at once, it is rather this node that hears nothing.
+        val patience = if (silent.size * 2 > heard.size && heard.size > 1) (book.settings.workers.leaseS * 1000).toLong() else 0L
+        for (machine in silent) {
+            if (machine.retirement != null && machine.retirement != Retirement.MOVING) continue
+            if (now - maxOf(machine.lastHeardAt, book.activeAt) <= silentAfter + patience) continue
+            log.info("{}: silent for {} s; it is replaced", machine.name, (now - machine.lastHeardAt) / 1000)
+            machine.retirement = Retirement.SILENT
+        }
+    }
+
+    /** Machines that report and hear nothing. Several at once would rather be this node's own answers that get lost. */
+    private fun retireDeaf() {
+        val deaf = book.machines.values.filter { it.unheeded >= Machine.DEAF_AFTER && it.retirement == null }
+        if (deaf.isEmpty()) return
+        if (deaf.size > maxOf(MOST_DEAF, book.machines.size / 4)) {
+            log.info("slice {}: {} machines seem to hear nothing; it is rather this node", book.index.value, deaf.size)
+            deaf.forEach { it.unheeded = 0 }
+            return
+        }
+        for (machine in deaf) {
+            log.info("{}: reports, but nothing reaches it; it is replaced", machine.name)
+            machine.retirement = Retirement.DEAF
+        }
+    }
+
+    private fun drainSick(machine: Machine) {
+        machine.placements.values.toList().forEach { commands.stop(it, StopReason.DRAINED) }
+    }
+
+    private fun drain(machine: Machine, warningUntil: Long, now: Long) {
+        val left = (warningUntil - now) / 1000.0
+        for (placement in machine.placements.values.toList()) {
+            if (placement.stopReason != null) continue
+            val spec = placement.job.spec
+            val ranS = if (placement.running) (now - placement.runningSince) / 1000.0 else 0.0
+            val finishes = !spec.service && placement.running && spec.guessS - ranS < left - 1.0
+            val lastMoment = left < (if (spec.resumable) spec.stowS + DRAIN_SLACK_S else 0.0)
+            if (spec.service || !placement.running || lastMoment || (!spec.resumable && !finishes)) commands.stop(placement, StopReason.DRAINED)
+        }
+    }
+
+    private fun idle(machine: Machine, now: Long, spare: Wants.Spare): Boolean {
+        if (machine.placements.isNotEmpty() || !machine.everHeard) return false
+        val patience = wants.patienceMs(machine)
+        return now - machine.emptySince > patience && now - book.activeAt > patience && !spare.needs(machine)
+    }
+
+    private fun retireIdle(machine: Machine, spare: Wants.Spare) {
+        log.info("{}: empty for {} s; it is returned", machine.name, (book.clock.now() - machine.emptySince) / 1000)
+        spare.without(machine)
+        machine.retirement = Retirement.IDLE
+        giveBack(machine)
+    }
+
+    /** Returns a machine. Only the cloud's answer is evidence that what was on it is gone. */
+    private fun giveBack(machine: Machine) {
+        if (machine.returning || !book.fresh()) return
+        machine.returning = true
+        toReturn.add(machine)
+    }
+
+    /**
+     * One call for all machines that are to go, and one call at a time.
+     *
+     * A call for each made silent machines wait, with the replicas on them, behind idle ones for this node's part of the
+     * cloud's limit.
+     */
+    private fun sendReturns() {
+        if (returnInFlight || toReturn.isEmpty() || !book.fresh()) return
+        val leaving = toReturn.take(MOST_RETURNED)
+        toReturn.removeAll(leaving.toSet())
+        returnInFlight = true
+        out.giveBack(leaving.map { it.name }) { confirmed ->
+            returnInFlight = false
+            if (book.dropped) return@giveBack
+            leaving.forEach { if (confirmed) returned(it) else it.returning = false }
+        }
+    }
+
+    /** The cloud has confirmed that the machine and all that was on it are gone. */
+    private fun returned(machine: Machine) {
+        machine.placements.values.toList().forEach {
+            log.info("{} try {}: gone with {}", it.id, it.attempt, machine.name)
+            book.finish(it, done = false)
+        }
+        book.jobs.values.forEach { it.failedOn.remove(machine) }
+        book.machines.remove(machine.name)
+        gone.add(machine.name)
+        removeDue = minOf(removeDue, book.clock.now() + REMOVE_SOON_MS)
+    }
+
+    private companion object {
+        const val MOST_RETURNED = 100
+        const val MOST_DEAF = 3
+        const val SILENT_REPORTS = 3.0
+        const val LOST_BOOT_FACTOR = 2.5
+        const val LOST_BOOT_S = 5.0
+        const val DRAIN_SLACK_S = 3.0
+        const val REMOVE_EVERY_MS = 2_000L
+        const val REMOVE_SOON_MS = 500L
+    }
+}
--- a/src/test/kotlin/io/reedmast/SocketTest.kt
+++ b/src/test/kotlin/io/reedmast/SocketTest.kt
@@ -33,6 +33,8 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.Executors
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 
 /** The real server and the real clients on loopback, against a small stand-in for state service and cloud. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -44,6 +46,7 @@
     }
 
     private val stored = HashMap<String, Pair<Any?, Long>>()
+    private val log = ArrayList<Map<*, *>>()
     private var epoch = 1L
 
     /** The next transaction that names this key is applied, and its answer lost. */
@@ -109,6 +112,7 @@
         epoch++
         for (write in (body["writes"] as List<*>).map { it as Map<*, *> }) {
             if (write["put"] != null) stored[write["put"] as String] = write["v"] to epoch else stored.remove(write["delete"] as String)
+            log.add(write + ("stamp" to epoch))
         }
         return 200 to mapOf("epoch" to epoch)
     }
@@ -121,8 +125,13 @@
         path.startsWith("/leases/") -> 200 to emptyMap()
 
         path == "/follow" -> {
-            Thread.sleep(100)
-            200 to mapOf("epoch" to epoch, "log" to emptyList<Any>())
+            Thread.sleep(20)
+            synchronized(this) {
+                val after = query.substringAfter("after=").substringBefore('&').toLong()
+                val prefix = query.substringAfter("prefix=").substringBefore('&')
+                val news = log.filter { (it["stamp"] as Long) > after && ((it["put"] ?: it["delete"]) as String).startsWith(prefix) }
+                200 to mapOf("epoch" to epoch, "log" to news)
+            }
         }
 
         path == "/kv" -> synchronized(this) {
@@ -184,7 +193,7 @@
 
     @Test
     fun `a transaction whose answer was lost is known to have been applied`() {
-        loseAnswerOf = "ref/wk-000003"
+        loseAnswerOf = "j/live/0/wk-000003"
         assertEquals(201, submit(job + ("ref" to "wk-000003")).first)
         assertEquals(null, loseAnswerOf)
     }
@@ -219,14 +228,17 @@
     }
 
     @Test
-    fun `peers ask each other for progress, and get nothing for what is unknown or unreachable`() {
+    fun `peers tell each other of progress in frames of bounded size, and nobody waits for one that is not there`() {
         val address = InetSocketAddress("127.0.0.1", freePort())
-        val server = PeerServer(address, backendThreads) { if (it == "wk-1") Progress(3, 4) else null }
+        val heard = LinkedBlockingQueue<List<Progress>>()
+        val server = PeerServer(address, backendThreads) { heard.add(it) }
         val listening = server.open()
         backendThreads.execute { server.run(listening) }
-        val client = PeerClient(address)
-        assertEquals(Progress(3, 4), client.progress("wk-1"))
-        assertEquals(null, client.progress("wk-2"))
-        assertEquals(null, PeerClient(InetSocketAddress("127.0.0.1", freePort())).progress("wk-1"))
+        val told = (0 until 5_000).map { Progress("wk-%06d".format(it), it, 7) }
+        assertTrue(PeerClient(address).tell(told))
+        val got = ArrayList<Progress>()
+        while (got.size < told.size) got.addAll(checkNotNull(heard.poll(5, TimeUnit.SECONDS)) { "${got.size} of ${told.size} heard" })
+        assertEquals(told, got)
+        assertEquals(false, PeerClient(InetSocketAddress("127.0.0.1", freePort())).tell(told))
     }
 }
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -127,6 +127,9 @@
         var stateCut = false
         var workersCut = false
 
+        /** Nothing passes between this node and the other controllers. */
+        var peersCut = false
+
         /** Sends of the next direct commands arrive this much later, and their answers are lost. */
         var lateDirectMs = 0L
 
@@ -156,7 +159,7 @@
         private fun tick(of: Int) {
             if (life != of) return
             controller?.tick()
-            after(250) { tick(of) }
+            after(50) { tick(of) }
         }
 
         private fun watch(of: Int) {
@@ -167,11 +170,12 @@
                     loaded = true
                     watchedTo = state.epoch
                     c.cluster.snapshot(state.list("c/"), now())
+                    c.cluster.jobsSnapshot(state.list("j/live/"), watchedTo, now())
                 } else {
                     val news = state.since(watchedTo)
                     watchedTo = state.epoch
                     c.cluster.clusterEvents(news.filter { it.path.startsWith("c/") }, now())
-                    c.cluster.refEvents(news.filter { it.path.startsWith("ref/") }, now())
+                    c.cluster.jobEvents(news.filter { it.path.startsWith("j/") }, now())
                 }
             }
             after(40) { watch(of) }
@@ -219,8 +223,13 @@
 
             override fun list(prefix: String, done: (List<Item>?) -> Unit) = reply(5, done) { if (reachable) state.list(prefix) else null }
 
-            override fun progress(label: String, ref: String, done: (Progress?) -> Unit) =
-                reply(2, done) { nodes.first { it.label == label }.controller?.progress(ref) }
+            override fun writeRoom(): Double = 1_000.0
+
+            override fun writeFullness(): Double = 1.0
+
+            override fun tellPeers(progress: List<Progress>) {
+                if (!peersCut) nodes.filter { it.index != index && !it.peersCut }.forEach { peer -> after(2) { peer.controller?.peersTold(progress) } }
+            }
 
             override fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit) {
                 val worker = workers.values.firstOrNull { it.addr == addr }
