Scenarios for the added rules and troubles; the stand-ins check the state service's limits

A counted-work test runs 300 machines. The stand-in state service breaks a test when a value, a transaction or its conditions are too large, and time no longer runs backwards between expectations of one moment.

--- /dev/null
+++ b/src/test/kotlin/io/reedmast/CountedWorkTest.kt
@@ -0,0 +1,92 @@
+package io.reedmast
+
+import io.reedmast.settings.CloudLimits
+import io.reedmast.settings.Member
+import io.reedmast.settings.NodeIndex
+import io.reedmast.settings.Settings
+import io.reedmast.settings.StateLimits
+import io.reedmast.settings.TeamShare
+import io.reedmast.settings.WorkerRules
+import io.reedmast.sim.World
+import io.reedmast.state.Haste
+import io.reedmast.state.WriteBudget
+import io.reedmast.wire.Flavor
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** What a fleet of hundreds costs, in counted work and not in time: changes stored, messages, passes. */
+class CountedWorkTest {
+    private val nodes = 3
+    private val machines = 300
+    private val valueBytes = 8192
+    private val flavors = listOf(Flavor("m", 16.0, 0.0, 64.0, 50.0, 0.5, 1.0, 0.3, 30.0, listOf("x")))
+
+    private fun settings(node: Int) = Settings(
+        label = "n$node",
+        front = World.address(node, 8080),
+        clusterListen = World.address(node, 8081),
+        members = (0 until nodes).map { Member("n$it", World.address(it, 8081)) },
+        self = NodeIndex(node),
+        cloud = "10.2.0.2:1",
+        state = "10.2.0.1:1",
+        zones = listOf("x"),
+        teams = (0 until 6).map { TeamShare("t$it", 800.0, 1200.0, 0.0, 0.0) },
+        objectives = emptyList(),
+        workers = WorkerRules(3.0, 16.0, 41.0),
+        stateLimits = StateLimits(150.0, 50.0, valueBytes, 16),
+        cloudLimits = CloudLimits(2.0, 5.0),
+        maxConnections = 1000,
+    )
+
+    @Test
+    fun `a fleet of hundreds stays within the limits, and what is stored follows the work`() {
+        val world = World(::settings, nodes, flavors)
+        world.capacity = machines
+        repeat(machines) { world.addWorker("m", "x", it % 2 == 0, 0) }
+        world.nodes.forEach { it.start() }
+        world.runUntil(20_000)
+        val jobs = 240
+        val before = world.state.changes
+        for (i in 0 until jobs) {
+            world.runUntil(20_000 + i * 100L)
+            val service = i % 4 != 0
+            val args = mapOf("crew" to "t${i % 6}", "pieces" to if (service) "2" else "60", "shape" to if (service) "service" else "array", "run" to "8", "spot" to "true")
+            val ref = "wk-%06d".format(i)
+            val spec = World.spec(ref, args)
+            world.jobs[ref] = World.SimJob(spec, 8_000, false)
+            world.nodes[i % nodes].ask(ref, { c, answer -> c.submit(spec, answer) })
+        }
+        world.runUntil(70_000)
+        assertEquals(emptyList<String>(), world.broken)
+        assertEquals(60, world.told.keys.size.let { world.jobs.values.count { job -> job.completed.size == job.spec.pieces } }, "arrays that are over")
+        assertEquals(360, world.workers.values.sumOf { w -> w.onMachine().count { world.jobs.getValue(it.ref).spec.service } })
+        val seconds = 50
+        val stored = world.state.changes - before
+        // An acceptance for each job, two more for the end of each array; pages and totals at their own rate.
+        val perSecond = (stored - jobs - 2 * 60) / seconds.toDouble()
+        assertTrue(perSecond < 36, "$perSecond changes a second besides acceptances and ends")
+        for (node in world.nodes) {
+            val passes = checkNotNull(node.controller).cluster.owned().sumOf { it.placer.passes }
+            assertTrue(passes <= 10 * 70, "$passes passes in 70 s")
+        }
+        // Reports every three seconds and at changes, and a few direct commands for each task.
+        assertTrue(world.messages < machines * 70 / 3 * 1.2 + 4_000 * 4, "${world.messages} messages")
+    }
+
+    @Test
+    fun `clean-up leaves part of the budget to what somebody waits for`() {
+        var now = 0L
+        val budget = WriteBudget(10.0) { now }
+        assertEquals(0L, budget.take(6, Haste.LAZY))
+        assertTrue(budget.take(1, Haste.LAZY) > 0)
+        assertEquals(0L, budget.take(4, Haste.PROMPT))
+        assertEquals(100L, budget.take(1, Haste.PROMPT))
+        now += 100
+        assertEquals(0L, budget.take(1, Haste.PROMPT))
+        // A transaction larger than a second's worth goes out once the bucket is full, and is paid for afterwards.
+        now += 1_000
+        assertEquals(0L, budget.take(16, Haste.PROMPT))
+        assertTrue(budget.take(1, Haste.PROMPT) >= 700)
+    }
+}
--- a/src/test/kotlin/io/reedmast/ScenarioTest.kt
+++ b/src/test/kotlin/io/reedmast/ScenarioTest.kt
@@ -21,7 +21,7 @@
 
 /**
  * Runs every file of src/test/resources/scenarios. A line is `at SECONDS VERB ARGUMENTS`, in order of time; before them
- * `nodes N`, `team NAME CPUS MAX`, `flavor NAME CPUS STARTUP_S`, `machine FLAVOR ZONE [spot]`, `capacity N`. The rules of
+ * `nodes N`, `value-kb N`, `team NAME CPUS MAX`, `flavor NAME CPUS STARTUP_S`, `machine FLAVOR ZONE [spot]`, `capacity N`. The rules of
  * the protocol are checked throughout; `expect` lines say what else must hold.
  */
 class ScenarioTest {
@@ -34,6 +34,7 @@
         private val lines = lines.map { it.substringBefore('#').trim() }.filter { it.isNotEmpty() }.map { it.split(Regex("\\s+")) }
         private val teams = given("team").map { TeamShare(it[1], it[2].toDouble(), it[3].toDouble(), 0.0, 0.0) }
         private val nodes = given("nodes").firstOrNull()?.get(1)?.toInt() ?: 3
+        private val valueBytes = ((given("value-kb").firstOrNull()?.get(1)?.toDouble() ?: 8.0) * 1024).toInt()
         private val flavors = given("flavor").map { Flavor(it[1], it[2].toDouble(), 0.0, 64.0, 50.0, 0.5, 1.0, 0.3, it[3].toDouble(), listOf("x", "y")) }
         private val world = World(::settings, nodes, flavors)
 
@@ -51,7 +52,7 @@
             teams = teams,
             objectives = emptyList<Objective>(),
             workers = WorkerRules(3.0, 16.0, 41.0),
-            stateLimits = StateLimits(100.0, 50.0, 8192, 16),
+            stateLimits = StateLimits(100.0, 50.0, valueBytes, 16),
             cloudLimits = CloudLimits(2.0, 5.0),
             maxConnections = 1000,
         )
@@ -91,7 +92,14 @@
                 "outage" -> world.state.outage((words[1].toDouble() * 1000).toLong())
                 "cut-state" -> world.nodes.first { it.label == words[1] }.stateCut = words[2] == "on"
                 "cut-workers" -> world.nodes.first { it.label == words[1] }.workersCut = words[2] == "on"
+                "cut-peers" -> world.nodes.first { it.label == words[1] }.peersCut = words[2] == "on"
                 "cut-machine" -> world.workers[words[1]]?.cut = words[2] == "on"
+                "deafen" -> world.workers[words[1]]?.deaf = words[2] == "on"
+                "copies" -> world.workers[words[1]]?.copiesAfterMs = (words[2].toDouble() * 1000).toLong()
+                "slow-state" -> world.stateSlow = words[1].toLong()
+                "spoil" -> world.state.spoil(words[1])
+                // Its power is gone: nobody is told.
+                "kill-machine" -> world.workers[words[1]]?.vanish()
                 "lose-answers" -> world.workers[words[1]]?.answersLost = words[2] == "on"
                 "hang" -> world.workers.getValue(words[1]).hang((words[2].toDouble() * 1000).toLong())
                 "late-direct" -> world.nodes.forEach { it.lateDirectMs = (words[1].toDouble() * 1000).toLong() }
@@ -115,7 +123,9 @@
                     asked.forEach { node ->
                         node.ask(words[1], { c, answer -> c.poll(words[1], answer) }) { said.add((it.body["stage"] ?: it.status).toString()) }
                     }
-                    world.runUntil(world.now() + 100)
+                    // Users wait two seconds for an answer.
+                    val patience = world.now() + 2_000
+                    while (said.size < asked.size && world.now() < patience) world.runUntil(world.now() + 50)
                     assertEquals(asked.map { words[2] }, said, at)
                 }
 
@@ -130,6 +140,15 @@
                 }
 
                 "machines" -> assertEquals(words[1].toInt(), world.workers.size, at)
+
+                "returned" -> assertTrue(words[1] in world.returned, "$at: returned are ${world.returned}")
+
+                // No node counts the machine to any slice.
+                "unknown" -> assertTrue(world.nodes.none { it.controller?.cluster?.sliceOfHost(words[1]) != null }, at)
+
+                "healthy" -> assertEquals(words[2].toBoolean(), world.nodes.first { it.label == words[1] }.controller?.healthy(), at)
+
+                "leader" -> assertEquals(1, world.nodes.count { it.controller?.cluster?.leading == true }, at)
                 else -> error("unknown expectation ${words[0]}")
             }
         }
--- a/src/test/kotlin/io/reedmast/sim/SimState.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -45,12 +45,36 @@
         return log.filter { it.stamp > after }
     }
 
+    /** Puts and deletes applied, each of which counts against the service's limit. */
+    var changes = 0
+        private set
+
+    /** The form of [Tree] values as another version, or nobody, would write them. */
+    fun spoil(path: String) {
+        epoch++
+        entries[path] = Entry(mapOf("form" to 0L), epoch, null)
+        log.add(Event(path, mapOf("form" to 0L), epoch))
+    }
+
+    /** What the service would not take is a mistake of ours, whatever becomes of it. */
+    private fun checkLimits(change: Change) {
+        val limits = world.settings.stateLimits
+        if (change.writes.size > limits.opsPerCommit) world.breach("${change.writes.size} changes in a transaction")
+        if (change.guards.size > limits.opsPerCommit * 4) world.breach("${change.guards.size} conditions in a transaction")
+        change.writes.filterIsInstance<Write.Put>().forEach {
+            val size = Tree.jsonSize(it.value)
+            if (size > limits.valueBytes) world.breach("${it.path} holds $size bytes")
+        }
+    }
+
     fun commit(change: Change): Outcome {
         expire()
+        checkLimits(change)
         val failed = change.guards.filter { (entries[it.path]?.stamp ?: 0L) != it.stamp }.mapTo(HashSet()) { it.path }
         if (failed.isNotEmpty()) return Outcome.Conflict(failed)
         if (change.writes.any { it is Write.Put && it.lease != null && it.lease !in leases }) return Outcome.Refused("no such lease")
         epoch++
+        changes += change.writes.size
         for (write in change.writes) {
             when (write) {
                 is Write.Put -> put(write)
--- a/src/test/kotlin/io/reedmast/sim/SimWorker.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimWorker.kt
@@ -38,6 +38,12 @@
 
     /** Answers to reports are lost as long as this is set. */
     var answersLost = false
+
+    /** Neither answers nor commands reach this machine, while its reports arrive. */
+    var deaf = false
+
+    /** Each report comes once more, this much later, to every node; 0: none does. */
+    var copiesAfterMs = 0L
     var started = false
         private set
 
@@ -105,10 +111,11 @@
         reportDue = world.now() + 3_000
         val report = report()
         val target = world.nodes[node]
+        if (copiesAfterMs > 0L) world.after(copiesAfterMs) { world.nodes.filter { it.up }.forEach { world.workerAnswer(it, report) } }
         world.after(2) {
             val reaches = target.up && !target.workersCut && !cut
             val answer = if (reaches) world.workerAnswer(target, report) else null
-            if (answersLost || answer == null) {
+            if (answersLost || deaf || answer == null) {
                 world.after(if (target.up) 4_000 else 10) { next(1_000) }
             } else {
                 world.after(2) { take(answer, sentAt, sentIn) }
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -35,6 +35,7 @@
     private val events = PriorityQueue<Event>(compareBy<Event>({ it.at }, { it.order }))
     val state = SimState(this)
     val workers = LinkedHashMap<String, SimWorker>()
+    private val workersByAddr = HashMap<String, SimWorker>()
     val nodes = (0 until nodes).map { SimNode(it) }
     val jobs = HashMap<String, SimJob>()
     val broken = ArrayList<String>()
@@ -43,6 +44,15 @@
     private var hosts = 0
     var capacity = Int.MAX_VALUE
 
+    /** How many times longer the state service takes than usual. */
+    var stateSlow = 1L
+
+    /** Reports and direct commands that have arrived somewhere. */
+    var messages = 0
+
+    /** Machines that were returned, in order. */
+    val returned = ArrayList<String>()
+
     /** The cloud neither rents nor takes machines back while this is set. */
     var cloudOut = false
     val settings = settingsOf(0)
@@ -63,13 +73,14 @@
             time = next.at
             next.work()
         }
-        time = ms
+        time = maxOf(time, ms)
     }
 
     fun addWorker(build: String, yard: String, spot: Boolean, bootMs: Long): SimWorker {
         val name = "host-%06d".format(hosts++)
         val worker = SimWorker(this, name, flavors.first { it.label == build }, yard, spot, time)
         workers[name] = worker
+        workersByAddr[worker.addr] = worker
         after(bootMs) { worker.start() }
         return worker
     }
@@ -178,7 +189,7 @@
                     c.cluster.jobEvents(news.filter { it.path.startsWith("j/") }, now())
                 }
             }
-            after(40) { watch(of) }
+            after(40 * stateSlow) { watch(of) }
         }
 
         fun ask(ref: String, question: (Controller, (UserAnswer) -> Unit) -> Unit, done: (UserAnswer) -> Unit = {}) {
@@ -205,7 +216,7 @@
                     lateCommitMs = 0L
                     return true
                 }
-                after(3) {
+                after(3 * stateSlow) {
                     if (life != of) return@after
                     if (!reachable) {
                         after(300) { commit(change, false) }
@@ -217,11 +228,11 @@
                 return true
             }
 
-            override fun get(path: String, done: (Fetched) -> Unit) = reply(4, done) {
+            override fun get(path: String, done: (Fetched) -> Unit) = reply(4 * stateSlow, done) {
                 if (!reachable) Fetched.Failed else state.get(path)?.let { Fetched.Found(it) } ?: Fetched.Missing
             }
 
-            override fun list(prefix: String, done: (List<Item>?) -> Unit) = reply(5, done) { if (reachable) state.list(prefix) else null }
+            override fun list(prefix: String, done: (List<Item>?) -> Unit) = reply(5 * stateSlow, done) { if (reachable) state.list(prefix) else null }
 
             override fun writeRoom(): Double = 1_000.0
 
@@ -232,7 +243,8 @@
             }
 
             override fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit) {
-                val worker = workers.values.firstOrNull { it.addr == addr }
+                messages++
+                val worker = workersByAddr[addr]
                 val late = lateDirectMs
                 lateDirectMs = 0L
                 when {
@@ -240,6 +252,10 @@
                         reply(800, done) { Reply.NotSent("no route") }
                     }
 
+                    worker.deaf -> {
+                        reply(2500, done) { Reply.Unanswered("deaf") }
+                    }
+
                     late > 0L -> {
                         after(late) { worker.direct(baton, tenure, orders) }
                         reply(2500, done) { Reply.Unanswered("late") }
@@ -270,7 +286,7 @@
             }
 
             override fun giveBack(hosts: List<String>, done: (Boolean) -> Unit) = after(200) {
-                if (!cloudOut) hosts.forEach { workers.remove(it)?.vanish() }
+                if (!cloudOut) hosts.forEach { name -> workers.remove(name)?.let { returned.add(name); it.vanish() } }
                 val confirmed = !cloudOut
                 reply(1, done) { confirmed }
             }
@@ -323,5 +339,8 @@
         )
     }
 
-    fun workerAnswer(node: SimNode, report: io.reedmast.wire.Report): WorkerAnswer? = node.controller?.checkin(report)
+    fun workerAnswer(node: SimNode, report: Report): WorkerAnswer? {
+        messages++
+        return node.controller?.checkin(report)
+    }
 }
