--- a/src/test/kotlin/io/reedmast/CountedWorkTest.kt
+++ b/src/test/kotlin/io/reedmast/CountedWorkTest.kt
@@ -51,7 +51,13 @@
         for (i in 0 until jobs) {
             world.runUntil(20_000 + i * 100L)
             val service = i % 4 != 0
-            val args = mapOf("crew" to "t${i % 6}", "pieces" to if (service) "2" else "60", "shape" to if (service) "service" else "array", "run" to "8", "spot" to "true")
+            val args = mapOf(
+                "crew" to "t${i % 6}",
+                "pieces" to if (service) "2" else "60",
+                "shape" to if (service) "service" else "array",
+                "run" to "8",
+                "spot" to "true",
+            )
             val ref = "wk-%06d".format(i)
             val spec = World.spec(ref, args)
             world.jobs[ref] = World.SimJob(spec, 8_000, false)
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -286,7 +286,14 @@
             }
 
             override fun giveBack(hosts: List<String>, done: (Boolean) -> Unit) = after(200) {
-                if (!cloudOut) hosts.forEach { name -> workers.remove(name)?.let { returned.add(name); it.vanish() } }
+                if (!cloudOut) {
+                    hosts.forEach { name ->
+                        workers.remove(name)?.let {
+                            returned.add(name)
+                            it.vanish()
+                        }
+                    }
+                }
                 val confirmed = !cloudOut
                 reply(1, done) { confirmed }
             }
