--- a/src/main/kotlin/io/reedmast/fleet/Wants.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Wants.kt
@@ -88,18 +88,19 @@
 
     fun spareCpus(now: Long) = Spare(book.machines.values.filter { it.usable && !it.record.driftwood }.sumOf { it.freeCpus }, headroom(now))
 
-    /** Expected CPUs of the services that arrive within a boot, with two deviations on top. */
-    private fun headroom(now: Long): Double {
-        val boot = shortestBoot() ?: return 0.0
-        var sum = 0.0
-        for ((lot, times) in book.arrivals) {
-            while (times.isNotEmpty() && now - times.first() > ARRIVALS_WINDOW_MS) times.removeFirst()
-            if (times.isEmpty()) continue
-            val size = book.jobs.values.firstOrNull { it.spec.lot == lot }?.spec ?: continue
-            val expected = times.size * boot * 1000.0 / ARRIVALS_WINDOW_MS
-            sum += (expected + 2 * sqrt(expected)) * size.cpus * size.pieces
-        }
-        return sum
+    /** CPUs of the services that arrive within a boot. */
+    private fun headroom(now: Long): Double = shortestBoot()?.let { arriving(now, it) } ?: 0.0
+
+    /** Room that other work leaves free on machines with services, for the services that arrive within a few seconds. */
+    fun reserve(now: Long): Double = arriving(now, RESERVE_S)
+
+    /** Expected CPUs of the services that arrive within [seconds], with two deviations on top. */
+    private fun arriving(now: Long, seconds: Double): Double {
+        val arrivals = book.arrivals
+        while (arrivals.isNotEmpty() && now - arrivals.first().at > ARRIVALS_WINDOW_MS) arrivals.removeFirst()
+        if (arrivals.isEmpty()) return 0.0
+        val part = seconds * 1000.0 / ARRIVALS_WINDOW_MS
+        return arrivals.sumOf { it.cpus } * part + 2 * sqrt(arrivals.sumOf { it.cpus * it.cpus } * part)
     }
 
     private fun shortestBoot(): Double? = book.machines.values.mapNotNull { it.flavor?.startupS }.minOrNull()
@@ -218,6 +219,7 @@
         const val KEPT_REPORTS = 4
         const val BOOT_WORTH = 0.25
         const val ARRIVALS_WINDOW_MS = 180_000L
+        const val RESERVE_S = 10.0
         const val MIN_TOTALS_MS = 1_000L
         const val IDLE_TO_MOVE_MS = 2_000L
         const val MAX_KINDS = 12
--- a/src/main/kotlin/io/reedmast/jobs/Job.kt
+++ b/src/main/kotlin/io/reedmast/jobs/Job.kt
@@ -86,6 +86,9 @@
     var notBefore = 0L
     var preempting = 0
 
+    /** Since when, without a break, tasks of it have waited for a machine. */
+    var waitsSince = 0L
+
     /** Which machine types are too dear for it, as long as prices stay as they are. */
     val dearFlavors = HashMap<String, Boolean>(4)
 
--- a/src/main/kotlin/io/reedmast/jobs/SliceBook.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceBook.kt
@@ -49,8 +49,10 @@
     /** Something has changed that may let waiting work start. */
     var placeWanted = false
 
-    /** When services of each class were accepted lately. */
-    val arrivals = HashMap<String, ArrayDeque<Long>>()
+    /** A service accepted lately, and what it takes. */
+    class Arrival(val at: Long, val cpus: Double)
+
+    val arrivals = ArrayDeque<Arrival>()
 
     val flavors: Collection<Flavor> get() = flavorList()
     val termGuard: Guard get() = Guard(Keys.slice(index.value), term)
@@ -67,6 +69,7 @@
     /** There is evidence that the attempt is over. */
     fun finish(placement: Placement, done: Boolean) {
         val job = placement.job
+        if (job.waitingCount == 0) job.waitsSince = clock.now()
         preemptedFor.remove(placement)?.let { it.preempting-- }
         job.remove(placement, done)
         touched(job.chunkOf(placement.task))
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -174,7 +174,8 @@
         val job = Job(spec, team, live.record.chunkSize, live.record.acceptedAtMs, live.stamp).apply { aborted = live.record.aborted }
         book.jobs[spec.ref] = job
         book.changed.add(job)
-        if (spec.service && active) book.arrivals.getOrPut(spec.lot) { ArrayDeque() }.addLast(clock.now())
+        job.waitsSince = clock.now()
+        if (spec.service && active) book.arrivals.addLast(SliceBook.Arrival(clock.now(), spec.cpus * spec.pieces))
         return job
     }
 
--- a/src/main/kotlin/io/reedmast/placement/Choice.kt
+++ b/src/main/kotlin/io/reedmast/placement/Choice.kt
@@ -29,12 +29,22 @@
     return !spec.apart || here + 1 <= (spec.pieces + 1) / 2
 }
 
+/**
+ * Free room on machines that hold services, and how much of it other work leaves to the services that arrive next.
+ *
+ * Without it, arrays fill such machines to the brim, each new service takes whatever machine has a task's end just then,
+ * and at the end of the arrays there is a machine to be paid for under every single service.
+ */
+class HeldRoom(var free: Double, private val reserve: Double) {
+    fun leaves(cpus: Double) = free - cpus >= reserve
+}
+
 /**
  * The one of [machines], all of them usable, on which a task of [job] should start now, or null. Lower scores are better.
  *
  * Work that may use spot machines keeps an ordinary one that is [dear] from becoming empty only if it is [late].
  */
-fun choose(job: Job, machines: List<Machine>, late: Boolean, dear: (Flavor, Job) -> Boolean): Machine? {
+fun choose(job: Job, machines: List<Machine>, late: Boolean, room: HeldRoom, dear: (Flavor, Job) -> Boolean): Machine? {
     val spec = job.spec
     var best: Machine? = null
     var bestScore = Double.MAX_VALUE
@@ -42,6 +52,7 @@
         if (!machine.fits(spec.cpus, spec.gpus, spec.memGb)) continue
         if (!allows(spec, machine.record.build, machine.record.yard, machine.record.driftwood)) continue
         if (!late && spec.driftwood && !machine.record.driftwood && !machine.held && machine.flavor?.let { dear(it, job) } == true) continue
+        if (!spec.service && !late && machine.isServiceHome && !room.leaves(spec.cpus)) continue
         if (machine in job.failedOn || !zonesAllow(job, machine.record.yard)) continue
         val score = score(spec, machine)
         if (score < bestScore) {
@@ -71,7 +82,7 @@
 }
 
 private const val FULLNESS_S = 1.0
-private const val LONE_S = 1.0
+private const val LONE_S = 8.0
 
 /** An hour's price of a CPU, as seconds of delay that are worth it. */
 private const val COST_S = 30.0
--- a/src/main/kotlin/io/reedmast/placement/Placer.kt
+++ b/src/main/kotlin/io/reedmast/placement/Placer.kt
@@ -50,6 +50,9 @@
         val ready = book.jobs.values.filter { it.waitingCount > 0 && !it.ending && now >= it.notBefore }
         if (ready.isEmpty()) return
         val machines = candidates(now)
+        val homes = machines.filter { it.isServiceHome }
+        val most = homes.sumOf { it.flavor?.cpus ?: 0.0 } * MOST_RESERVED
+        val room = HeldRoom(homes.sumOf { it.freeCpus }, minOf(wants.reserve(now), most))
         val wall = book.clock.wall()
         val full = HashSet<Shape>()
         val placed = HashMap<Job, Int>()
@@ -63,12 +66,12 @@
                 val team = first(queues, wall)
                 val queue = queues.getValue(team)
                 val job = queue.first()
-                if (placeOne(job, machines, full, now)) placed.merge(job, 1, Int::plus) else queue.removeFirst()
+                if (placeOne(job, machines, room, full, now)) placed.merge(job, 1, Int::plus) else queue.removeFirst()
                 if (queue.isEmpty()) queues.remove(team)
             }
         }
         for ((job, count) in placed) log.info("{}: {} placed", job.spec.ref, count)
-        preempt(ready, wall)
+        preempt(ready, now, wall)
     }
 
     private fun first(queues: Map<TeamIndex, ArrayDeque<Job>>, wall: Long): TeamIndex {
@@ -84,7 +87,7 @@
     }
 
     /** True if a task was placed and the job may have another one to place. */
-    private fun placeOne(job: Job, machines: List<Machine>, full: MutableSet<Shape>, now: Long): Boolean {
+    private fun placeOne(job: Job, machines: List<Machine>, room: HeldRoom, full: MutableSet<Shape>, now: Long): Boolean {
         if (job.waitingCount <= 0 || book.allowance(job) < 1) return false
         val task = job.nextWaiting()
         if (task < 0) return false
@@ -97,13 +100,14 @@
             Shape(spec.cpus, spec.gpus, spec.memGb, spec.driftwood, spec.builds, spec.yard, late)
         }
         if (shape != null && shape in full) return false
-        val machine = choose(job, machines, late, ::dear)
+        val machine = choose(job, machines, late, room, ::dear)
         if (machine == null) {
             if (shape != null) full.add(shape)
             return false
         }
         val attempt = (book.token shl ATTEMPT_BITS) + ++attempts
         val placement = Placement(job, task, attempt, machine, now)
+        if (machine.isServiceHome) room.free -= spec.cpus
         book.place(placement)
         book.touched(job.chunkOf(task))
         log.debug("{} try {}: placed on {}", placement.id, attempt, machine.name)
@@ -114,13 +118,14 @@
         job.dearFlavors.getOrPut(flavor.label) { isDear(flavor, book.flavors, job.spec.cpus, job.spec.gpus, job.spec.memGb) }
 
     /** Stops work for requests that cannot fit otherwise, one machine at a time and never twice for the same request. */
-    private fun preempt(ready: List<Job>, wall: Long) {
+    private fun preempt(ready: List<Job>, now: Long, wall: Long) {
         val holding = book.machines.values.filter { m -> m.usable && m.warningUntil == 0L && m.placements.values.any { yieldable(it) } }
         if (holding.isEmpty()) return
         val coming = wants.coming()
         var tries = 0
         for (job in ready) {
             if (!job.spec.rank.funded || job.waitingCount <= job.preempting || book.allowance(job) <= job.preempting) continue
+            if (now - job.waitsSince < preemptAfterMs(job)) continue
             // What only has to be done some time fits on the machines that are on their way; what has to start soon does not.
             if (!book.startsSoon(job) && wants.comingHolds(job, coming)) continue
             if (++tries > MOST_PREEMPTING) break
@@ -141,6 +146,12 @@
         }
     }
 
+    /**
+     * What fits a little later without stopping anything does not need a victim: tasks end all the time, and each victim
+     * loses what it has done. A day of arrays that yielded at once to services stopped a fifth of all tasks.
+     */
+    private fun preemptAfterMs(job: Job): Long = (book.settings.workers.reportS * 1000 * if (book.startsSoon(job)) 1 else ARRAY_WAITS_REPORTS).toLong()
+
     /** Whether the work yields to anything at all: funded work that cannot resume never does. */
     private fun yieldable(placement: Placement) = !placement.job.spec.rank.funded || placement.job.spec.resumable
 
@@ -179,6 +190,8 @@
     }
 
     private companion object {
+        const val MOST_RESERVED = 0.25
+        const val ARRAY_WAITS_REPORTS = 4
         const val PASS_EVERY_MS = 100L
         const val ATTEMPT_BITS = 22
         const val MOST_PREEMPTING = 50
--- a/src/main/kotlin/io/reedmast/workers/Machine.kt
+++ b/src/main/kotlin/io/reedmast/workers/Machine.kt
@@ -91,6 +91,9 @@
     /** Services stay for long: while one is here, the machine is paid for anyway. */
     val held: Boolean get() = services > 0
 
+    /** An ordinary machine with services on it: where the next ones should go. */
+    val isServiceHome: Boolean get() = services > 0 && !record.driftwood
+
     /** Whether work may be placed here. A machine that may not hear us gets no more of it. */
     val usable: Boolean get() = trusted && retirement == null && !returning && flavor != null && unheeded < UNHEEDED_UNUSABLE
 
