Arrays get new machines only for what would be late without them; spot machines kept half as long

Cause: at the start some 490 machines were up or booting for 6,000 CPUs of work, and the fleet took minutes to shrink.

--- a/src/main/kotlin/io/reedmast/app/Outward.kt
+++ b/src/main/kotlin/io/reedmast/app/Outward.kt
@@ -39,9 +39,7 @@
     /** False while the state service is known not to take changes. */
     val stateAnswers: Boolean
 
-    /** How many changes this node's part of the state service's limit allows now, and that as a part of a second's worth. */
-    fun writeRoom(): Double
-
+    /** How many changes this node's part of the state service's limit allows now, as a part of a second's worth. */
     fun writeFullness(): Double
 
     fun get(path: String, done: (Fetched) -> Unit)
--- a/src/main/kotlin/io/reedmast/app/RealOutward.kt
+++ b/src/main/kotlin/io/reedmast/app/RealOutward.kt
@@ -53,8 +53,6 @@
 
     override fun list(prefix: String, done: (List<Item>?) -> Unit) = call(reads, { client.list(prefix)?.first }, null, done)
 
-    override fun writeRoom(): Double = client.budget.room()
-
     override fun writeFullness(): Double = client.budget.fullness()
 
     override fun tellPeers(progress: List<Progress>) = peers.forEach { peer -> call(peerCalls, { peer.tell(progress) }, false) {} }
--- a/src/main/kotlin/io/reedmast/fleet/Wants.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Wants.kt
@@ -45,6 +45,8 @@
 
     /** Free room of a machine, which is filled up in thought. */
     class Room(val host: HostRecord, private var cpus: Double, private var gpus: Double, private var memGb: Double) {
+        val freeCpus: Double get() = cpus
+
         /** Takes as many of [most] tasks as fit, and returns how many. */
         fun take(spec: JobSpec, most: Int): Int {
             if (!allows(spec, host.build, host.yard, host.driftwood)) return 0
@@ -135,9 +137,11 @@
     fun demand(): List<Demand> {
         val rooms = coming()
         val kinds = LinkedHashMap<Any, Demand>()
-        val excess = excess()
         val left = HashMap<TeamIndex, Double>()
-        for (job in book.jobs.values.filter { it.waitingCount > 0 && !it.ending && !book.looksBad(it) }.sortedBy { it.spec.rank }) {
+        val pace = Pace(rooms)
+        val now = book.clock.wall()
+        val waiting = book.jobs.values.filter { it.waitingCount > 0 && !it.ending && !book.looksBad(it) }
+        for (job in waiting.sortedWith(compareBy({ !it.spec.service }, { it.spec.rank }, { book.dueMs(it) }))) {
             val spec = job.spec
             var tasks = minOf(job.waitingCount, book.allowance(job))
             val share = book.settings.teams[job.team.value]
@@ -147,7 +151,7 @@
                 left[job.team] = cpus - tasks * spec.cpus
             }
             tasks = left(spec, tasks, rooms)
-            if (!spec.service) tasks = ceil(tasks * excess).toInt()
+            if (!spec.service) tasks = minOf(tasks, pace.tasksToRentFor(job, tasks, now))
             if (tasks <= 0) continue
             val demand = Demand.of(spec, book.late(job), tasks)
             kinds.merge(demand.kind(), demand, Demand::plus)
@@ -156,21 +160,38 @@
     }
 
     /**
-     * The part of the waiting array work that the slice's machines would not get through while a new machine boots.
+     * How fast the slice gets through its array work, in the order it is due, and what it lacks to be in time.
      *
-     * Run times are the owners' estimates; work that would be over before a machine is up is not worth one.
+     * Run times are the owners' estimates. Work that the machines at hand get through by its due time needs no more of them,
+     * and no new machine is up in time for what is due before it has booted.
      */
-    private fun excess(): Double {
-        var work = 0.0
-        var running = 0.0
-        for (job in book.jobs.values) {
-            if (job.spec.service) continue
-            work += job.waitingCount * job.spec.cpus * job.spec.guessS
-            running += job.placedCount * job.spec.cpus
+    private inner class Pace(rooms: List<Room>) {
+        private val bootS = shortestBoot() ?: 0.0
+        private var cpus = 0.0
+        private var work = 0.0
+
+        init {
+            for (machine in book.machines.values) if (machine.usable) cpus += machine.freeCpus
+            cpus += rooms.sumOf { it.freeCpus }
+            for (job in book.jobs.values) {
+                if (job.spec.service) continue
+                val running = job.placedCount * job.spec.cpus
+                cpus += running
+                work += running * job.spec.guessS / 2
+            }
+        }
+
+        fun tasksToRentFor(job: Job, tasks: Int, now: Long): Int {
+            val spec = job.spec
+            work += job.waitingCount * spec.cpus * spec.guessS
+            val leftS = (book.dueMs(job) - now) / 1000.0 - spec.guessS
+            val seconds = maxOf(leftS, bootS * LATEST_BOOTS)
+            val lacking = work * ESTIMATE_SLACK / seconds - cpus
+            if (lacking <= 0.0) return 0
+            val some = minOf(tasks, ceil(lacking / maxOf(spec.cpus, Machine.EPSILON)).toInt())
+            cpus += some * spec.cpus
+            return some
         }
-        if (work <= 0.0) return 1.0
-        val boot = shortestBoot() ?: return 1.0
-        return maxOf(0.0, 1.0 - running * boot / work)
     }
 
     // ---- totals -----------------------------------------------------------------------------------------------------------
@@ -184,6 +205,7 @@
         if (now < due && !(wanted && demand != lastDemand)) return
         lastDemand = demand
         lastWritten = now
+        logState(now, demand)
         due = now + (book.tuning.totalsS * 1000).toLong()
         writing = true
         val wall = book.clock.wall()
@@ -211,11 +233,33 @@
         )
     }
 
+    private var logDue = 0L
+
+    private fun logState(now: Long, demand: List<Demand>) {
+        if (now < logDue) return
+        logDue = now + LOG_EVERY_MS
+        val (up, coming) = book.machines.values.partition { it.usable }
+        log.info(
+            "slice {}: {} machines, {} not in use, {} CPUs free of {}, {} jobs with {} tasks waiting, wanted: {}",
+            slice,
+            up.size,
+            coming.size,
+            up.sumOf { it.freeCpus }.toInt(),
+            up.sumOf { it.flavor?.cpus ?: 0.0 }.toInt(),
+            book.jobs.size,
+            book.jobs.values.sumOf { it.waitingCount },
+            demand.map { "${it.count} of ${"%.1f".format(it.cpus)} CPUs" },
+        )
+    }
+
     /** Whether machines that are on their way have room for all that [job] may still start. */
     fun comingHolds(job: Job, rooms: List<Room>): Boolean = left(job.spec, minOf(job.waitingCount, book.allowance(job)), rooms) == 0
 
     private companion object {
-        const val SPOT_PATIENCE = 4.0
+        const val SPOT_PATIENCE = 2.0
+        const val ESTIMATE_SLACK = 1.5
+        const val LATEST_BOOTS = 1.0
+        const val LOG_EVERY_MS = 15_000L
         const val KEPT_REPORTS = 4
         const val BOOT_WORTH = 0.25
         const val ARRIVALS_WINDOW_MS = 180_000L
--- a/src/main/kotlin/io/reedmast/jobs/Ledger.kt
+++ b/src/main/kotlin/io/reedmast/jobs/Ledger.kt
@@ -78,7 +78,8 @@
         for (page in pages) {
             if (page.dirtySince == 0L || page.writing) continue
             if (page.urgent) {
-                if (out.writeRoom() >= 1.0) store(page, Haste.PROMPT)
+                // Not to the last change that is allowed: an acceptance, whose user waits, takes one and should find it.
+                if (out.writeFullness() > FULL_ENOUGH_TO_PLACE) store(page, Haste.PROMPT)
             } else if (now - page.dirtySince >= LAZY_MS && out.writeFullness() > FULL_ENOUGH) {
                 store(page, Haste.LAZY)
             }
@@ -211,6 +212,7 @@
     private companion object {
         const val LAZY_MS = 700L
         const val FULL_ENOUGH = 0.5
+        const val FULL_ENOUGH_TO_PLACE = 0.25
         const val MAX_ENDINGS = 64
         const val REFUSED_MS = 30_000L
         const val REREAD_MS = 500L
--- a/src/main/kotlin/io/reedmast/state/WriteBudget.kt
+++ b/src/main/kotlin/io/reedmast/state/WriteBudget.kt
@@ -17,13 +17,6 @@
         rate = perS
     }
 
-    /** How many changes may be made now. */
-    @Synchronized
-    fun room(): Double {
-        fill()
-        return level
-    }
-
     /** The part of a full bucket that is left, at most 1. */
     @Synchronized
     fun fullness(): Double {
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -234,8 +234,6 @@
 
             override fun list(prefix: String, done: (List<Item>?) -> Unit) = reply(5 * stateSlow, done) { if (reachable) state.list(prefix) else null }
 
-            override fun writeRoom(): Double = 1_000.0
-
             override fun writeFullness(): Double = 1.0
 
             override fun tellPeers(progress: List<Progress>) {
