Owners tell the other nodes addresses and images; a new owner greets at once; bursts are forecast

Cause: after a takeover no machine took work before it had reported twice, and images had to be found out anew. A burst of arrays got its machines when it was over, since only what already waited counted.

--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -4,7 +4,7 @@
 import io.reedmast.jobs.JobDoor
 import io.reedmast.jobs.UserAnswer
 import io.reedmast.ownership.Cluster
-import io.reedmast.peers.Progress
+import io.reedmast.peers.Told
 import io.reedmast.settings.Settings
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Event
@@ -87,7 +87,7 @@
 
     fun abort(ref: String, answer: (UserAnswer) -> Unit) = jobs.abort(ref, answer)
 
-    fun peersTold(progress: List<Progress>) = cluster.jobs.noteProgress(progress)
+    fun peerTold(told: Told) = cluster.peerTold(told)
 
     fun healthy(): Boolean = cluster.ready && cluster.fresh() && flavors.isNotEmpty()
 
@@ -119,9 +119,9 @@
 
     fun abort(ref: String, answer: (UserAnswer) -> Unit): Boolean = desk.offer(Urgency.SUBMISSION) { controller.abort(ref, answer) }
 
-    /** What a peer tells is for display only: it is dropped while there is too much to do. */
-    fun peersTold(progress: List<Progress>) {
-        desk.offer(Urgency.SUBMISSION) { controller.peersTold(progress) }
+    /** What a peer tells is for display, or a hint: it is dropped while there is too much to do. */
+    fun peerTold(told: Told) {
+        desk.offer(Urgency.SUBMISSION) { controller.peerTold(told) }
     }
 
     fun snapshot(items: List<Item>, askedAt: Long) = desk.post { controller.cluster.snapshot(items, askedAt) }
--- a/src/main/kotlin/io/reedmast/app/Outward.kt
+++ b/src/main/kotlin/io/reedmast/app/Outward.kt
@@ -1,7 +1,7 @@
 package io.reedmast.app
 
 import io.reedmast.fleet.Rental
-import io.reedmast.peers.Progress
+import io.reedmast.peers.Told
 import io.reedmast.state.Change
 import io.reedmast.state.Fetched
 import io.reedmast.state.Item
@@ -46,8 +46,8 @@
 
     fun list(prefix: String, done: (List<Item>?) -> Unit)
 
-    /** Tells the other nodes how far jobs are; nothing depends on its arrival. */
-    fun tellPeers(progress: List<Progress>)
+    /** Tells the other nodes of jobs and machines; no rule depends on its arrival. */
+    fun tellPeers(told: Told)
 
     /** Sends commands to a worker directly. */
     fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit)
--- a/src/main/kotlin/io/reedmast/app/RealOutward.kt
+++ b/src/main/kotlin/io/reedmast/app/RealOutward.kt
@@ -4,7 +4,7 @@
 import com.google.common.util.concurrent.ThreadFactoryBuilder
 import io.reedmast.fleet.Rental
 import io.reedmast.peers.PeerClient
-import io.reedmast.peers.Progress
+import io.reedmast.peers.Told
 import io.reedmast.settings.Settings
 import io.reedmast.state.Change
 import io.reedmast.state.Committer
@@ -55,7 +55,7 @@
 
     override fun writeFullness(): Double = client.budget.fullness()
 
-    override fun tellPeers(progress: List<Progress>) = peers.forEach { peer -> call(peerCalls, { peer.tell(progress) }, false) {} }
+    override fun tellPeers(told: Told) = peers.forEach { peer -> call(peerCalls, { peer.tell(told) }, false) {} }
 
     override fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit) {
         val body = mapOf("baton" to baton, "tenure" to tenure, "orders" to orders.map { it.toFields() })
--- a/src/main/kotlin/io/reedmast/fleet/Wants.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Wants.kt
@@ -98,13 +98,21 @@
 
     /** Expected CPUs of the services that arrive within [seconds], with two deviations on top. */
     private fun arriving(now: Long, seconds: Double): Double {
-        val arrivals = book.arrivals
-        while (arrivals.isNotEmpty() && now - arrivals.first().at > ARRIVALS_WINDOW_MS) arrivals.removeFirst()
-        if (arrivals.isEmpty()) return 0.0
+        val arrivals = book.arrivals.since(now - ARRIVALS_WINDOW_MS)
+        // With the last service gone, nothing says that more will come.
+        if (arrivals.isEmpty() || book.jobs.values.none { it.spec.service }) return 0.0
         val part = seconds * 1000.0 / ARRIVALS_WINDOW_MS
         return arrivals.sumOf { it.cpus } * part + 2 * sqrt(arrivals.sumOf { it.cpus * it.cpus } * part)
     }
 
+    private fun ArrayDeque<SliceBook.Arrival>.since(at: Long) = apply { while (isNotEmpty() && first().at < at) removeFirst() }
+
+    /** Array work that arrives in a second, in CPU seconds, as far as it is sure: one deviation below the mean. */
+    private fun arrayRate(): Double {
+        val arrivals = book.arrayArrivals.since(book.clock.now() - ARRAYS_WINDOW_MS)
+        return maxOf(0.0, arrivals.sumOf { it.cpus } - sqrt(arrivals.sumOf { it.cpus * it.cpus })) * 1000.0 / ARRAYS_WINDOW_MS
+    }
+
     private fun shortestBoot(): Double? = book.machines.values.mapNotNull { it.flavor?.startupS }.minOrNull()
 
     private var meanImageGb = 0.0
@@ -170,6 +178,9 @@
         private var cpus = 0.0
         private var work = 0.0
 
+        /** What a burst brings while machines for it boot would come too late if it were waited for. */
+        private val arriving = arrayRate()
+
         init {
             for (machine in book.machines.values) if (machine.usable) cpus += machine.freeCpus
             cpus += rooms.sumOf { it.freeCpus }
@@ -186,7 +197,7 @@
             work += job.waitingCount * spec.cpus * spec.guessS
             val leftS = (book.dueMs(job) - now) / 1000.0 - spec.guessS
             val seconds = maxOf(leftS, bootS * LATEST_BOOTS)
-            val lacking = work * ESTIMATE_SLACK / seconds - cpus
+            val lacking = work * ESTIMATE_SLACK / seconds + arriving - cpus
             if (lacking <= 0.0) return 0
             val some = minOf(tasks, ceil(lacking / maxOf(spec.cpus, Machine.EPSILON)).toInt())
             cpus += some * spec.cpus
@@ -263,6 +274,7 @@
         const val KEPT_REPORTS = 4
         const val BOOT_WORTH = 0.25
         const val ARRIVALS_WINDOW_MS = 180_000L
+        const val ARRAYS_WINDOW_MS = 40_000L
         const val RESERVE_S = 10.0
         const val MIN_TOTALS_MS = 1_000L
         const val IDLE_TO_MOVE_MS = 2_000L
--- a/src/main/kotlin/io/reedmast/jobs/SliceBook.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceBook.kt
@@ -54,6 +54,9 @@
 
     val arrivals = ArrayDeque<Arrival>()
 
+    /** Arrays accepted lately: of these, [Arrival.cpus] is their work in CPU seconds. */
+    val arrayArrivals = ArrayDeque<Arrival>()
+
     val flavors: Collection<Flavor> get() = flavorList()
     val termGuard: Guard get() = Guard(Keys.slice(index.value), term)
 
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -5,6 +5,7 @@
 import io.reedmast.fleet.Wants
 import io.reedmast.ownership.SliceRecord
 import io.reedmast.peers.Progress
+import io.reedmast.peers.Told
 import io.reedmast.placement.Placer
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
@@ -19,12 +20,14 @@
 import io.reedmast.workers.Machine
 import io.reedmast.workers.Reports
 import io.reedmast.workers.Retirement
+import io.reedmast.workers.Roster
 import io.reedmast.workers.Upkeep
 import org.slf4j.LoggerFactory
 
 /** The records of slices and their machines, which their owner asks to change and others may change too. */
 interface SliceRecords {
     val jobs: JobIndex
+    val roster: Roster
 
     /** The machines that the records name for the slice, and the slices that they are to move to. */
     fun machinesOf(slice: SliceIndex): Map<HostRecord, Int?>
@@ -133,7 +136,7 @@
     }
 
     private fun added(host: HostRecord, known: Machine?): Machine {
-        val machine = Machine(host, book.flavorOf(host.build), clock.now(), token)
+        val machine = Machine(host, book.flavorOf(host.build), clock.now(), token, records.roster.of(host.name))
         known?.placements?.values?.toList()?.forEach { old ->
             val placement = Placement(old.job, old.task, old.attempt, machine, old.madeAt).apply { committed = old.committed }
             old.job.chunkOf(old.task).placements[old.task] = placement
@@ -175,7 +178,10 @@
         book.jobs[spec.ref] = job
         book.changed.add(job)
         job.waitsSince = clock.now()
-        if (spec.service && active) book.arrivals.addLast(SliceBook.Arrival(clock.now(), spec.cpus * spec.pieces))
+        if (active) {
+            val (arrivals, amount) = if (spec.service) book.arrivals to spec.cpus * spec.pieces else book.arrayArrivals to spec.cpus * spec.pieces * spec.guessS
+            arrivals.addLast(SliceBook.Arrival(clock.now(), amount))
+        }
         return job
     }
 
@@ -257,7 +263,7 @@
         upkeep.tick(now)
         if (book.jobs.values.any { it.waitingCount > 0 && it.notBefore in 1..now }) book.placeWanted = true
         wants.writeTotals(now)
-        tellProgress(now)
+        tellPeers(now)
     }
 
     private var lastCharged = 0L
@@ -270,11 +276,11 @@
         book.charge(seconds)
     }
 
-    /** Tells the other nodes how far jobs are, for their users' display. */
-    private fun tellProgress(now: Long) {
+    /** Tells the other nodes how far jobs are, for their users' display, and what helps whoever takes the slice over. */
+    private fun tellPeers(now: Long) {
         if (now < tellDue) return
         tellDue = now + TELL_EVERY_MS
-        // A node that has just come back knows no counts: now and then all are told again.
+        // A node that has just come back knows nothing: now and then all is told again.
         val all = ++tellings % TELL_ALL_EACH == 0
         val news = ArrayList<Progress>()
         for (job in book.jobs.values) {
@@ -283,9 +289,10 @@
             job.toldRunning = job.runningCount
             news.add(Progress(job.spec.ref, job.doneCount, job.runningCount))
         }
-        if (news.isEmpty()) return
+        val hosts = records.roster.news(book.machines.keys, all)
+        if (news.isEmpty() && hosts.isEmpty()) return
         records.jobs.noteProgress(news)
-        out.tellPeers(news)
+        out.tellPeers(Told(news, hosts))
     }
 
     private companion object {
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -6,6 +6,7 @@
 import io.reedmast.jobs.JobIndex
 import io.reedmast.jobs.SliceOwner
 import io.reedmast.jobs.SliceRecords
+import io.reedmast.peers.Told
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
 import io.reedmast.settings.Tuning
@@ -25,6 +26,7 @@
 import io.reedmast.wire.count
 import io.reedmast.wire.text
 import io.reedmast.workers.HostRecord
+import io.reedmast.workers.Roster
 import org.slf4j.LoggerFactory
 import java.util.ArrayDeque
 import java.util.TreeMap
@@ -53,6 +55,7 @@
     val records = arrayOfNulls<Held>(settings.slices)
     private val parts = Array(settings.slices) { TreeMap<Int, HeldPart>() }
     override val jobs = JobIndex(settings, ::owned)
+    override val roster = Roster()
     val owners = arrayOfNulls<SliceOwner>(settings.slices)
     private val hostSlices = HashMap<String, SliceIndex>()
     private val nodes = HashSet<String>()
@@ -246,6 +249,7 @@
             if (old.name !in names && hostSlices[old.name] == slice && hostsOf(slice).none { it.name == old.name }) {
                 hostSlices.remove(old.name)
                 departed[old.name] = clock.now()
+                roster.forget(old.name)
             }
         }
         for (host in part.hosts) {
@@ -294,6 +298,12 @@
         owned().forEach { it.tick() }
     }
 
+    /** Another node tells of its slices' jobs and machines. */
+    fun peerTold(told: Told) {
+        jobs.noteProgress(told.jobs)
+        roster.heard(told.hosts) { it in hostSlices }
+    }
+
     fun pump() = owned().forEach { it.pump() }
 
     private fun keepLease() {
--- a/src/main/kotlin/io/reedmast/peers/PeerLink.kt
+++ b/src/main/kotlin/io/reedmast/peers/PeerLink.kt
@@ -1,5 +1,6 @@
 package io.reedmast.peers
 
+import io.reedmast.workers.HostNews
 import okio.Buffer
 import okio.BufferedSink
 import okio.BufferedSource
@@ -18,48 +19,80 @@
 /** How far a job is, as its slice's owner knows it. */
 data class Progress(val ref: String, val done: Int, val running: Int)
 
+/** What an owner tells the other nodes of its slice's jobs and machines. */
+data class Told(val jobs: List<Progress>, val hosts: List<HostNews>)
+
 /**
- * Frames between controllers: a length, then entries of a job id with its length, and two counts. Nothing is answered:
- * what an owner tells of its jobs is for display, and told again when it changes.
+ * Frames between controllers: a length, then entries that each begin with their kind. Nothing is answered: what an owner
+ * tells is for display, or a hint, and told again now and then.
  */
 internal object Frames {
     private const val MAX_FRAME = 64 * 1024
-    private const val MAX_REF = 255
-
-    /** As many frames as [progress] takes. */
-    fun write(sink: BufferedSink, progress: List<Progress>) {
-        val message = Buffer()
-        for (of in progress) {
-            val ref = of.ref.encodeUtf8()
-            if (ref.size > MAX_REF) continue
-            if (message.size + ref.size + 1 + 2 * Int.SIZE_BYTES > MAX_FRAME) send(sink, message)
-            message.writeByte(ref.size).write(ref).writeInt(of.done).writeInt(of.running)
+    private const val JOB = 1
+    private const val HOST = 2
+    private const val MAX_TEXT = 255
+    private const val MAX_IMAGES = 255
+
+    /** As many frames as [told] takes. */
+    fun write(sink: BufferedSink, told: Told) {
+        val frame = Buffer()
+        fun add(entry: Buffer) {
+            if (frame.size + entry.size > MAX_FRAME) send(sink, frame)
+            frame.write(entry, entry.size)
+        }
+        for (of in told.jobs) add(Buffer().writeByte(JOB).text(of.ref).writeInt(of.done).writeInt(of.running))
+        for (of in told.hosts) {
+            val images = of.images.takeLast(MAX_IMAGES)
+            val entry = Buffer().writeByte(HOST).text(of.host).text(of.addr).writeByte(images.size)
+            images.forEach { (bundle, sizeGb) -> entry.text(bundle).writeLong(sizeGb.toRawBits()) }
+            add(entry)
         }
-        send(sink, message)
+        send(sink, frame)
         sink.flush()
     }
 
-    private fun send(sink: BufferedSink, message: Buffer) {
-        sink.writeInt(message.size.toInt())
-        sink.write(message, message.size)
+    private fun Buffer.text(text: String): Buffer {
+        val bytes = text.encodeUtf8().let { if (it.size > MAX_TEXT) it.substring(0, MAX_TEXT) else it }
+        return writeByte(bytes.size).write(bytes)
     }
 
-    fun read(source: BufferedSource): List<Progress> {
+    private fun Buffer.readText(): String = readUtf8(readSmall().toLong())
+
+    private fun Buffer.readSmall(): Int = readByte().toInt() and 0xff
+
+    private fun send(sink: BufferedSink, frame: Buffer) {
+        sink.writeInt(frame.size.toInt())
+        sink.write(frame, frame.size)
+    }
+
+    fun read(source: BufferedSource): Told {
         val size = source.readInt()
         if (size !in 0..MAX_FRAME) throw IOException("a frame of $size bytes")
-        val message = Buffer()
-        source.readFully(message, size.toLong())
-        val progress = ArrayList<Progress>()
-        while (!message.exhausted()) {
-            val ref = message.readUtf8((message.readByte().toInt() and 0xff).toLong())
-            progress.add(Progress(ref, message.readInt(), message.readInt()))
+        val frame = Buffer()
+        source.readFully(frame, size.toLong())
+        val jobs = ArrayList<Progress>()
+        val hosts = ArrayList<HostNews>()
+        while (!frame.exhausted()) {
+            when (val kind = frame.readSmall()) {
+                JOB -> jobs.add(Progress(frame.readText(), frame.readInt(), frame.readInt()))
+                HOST -> hosts.add(
+                    HostNews(
+                        frame.readText(),
+                        frame.readText(),
+                        List(frame.readSmall()) {
+                            frame.readText() to Double.fromBits(frame.readLong())
+                        },
+                    ),
+                )
+                else -> throw IOException("an entry of kind $kind")
+            }
         }
-        return progress
+        return Told(jobs, hosts)
     }
 }
 
 /** Hears what the other controllers tell. */
-class PeerServer(private val address: InetSocketAddress, private val connections: Executor, private val heard: (List<Progress>) -> Unit) {
+class PeerServer(private val address: InetSocketAddress, private val connections: Executor, private val heard: (Told) -> Unit) {
     private val log = LoggerFactory.getLogger("peers")
 
     /** Opens the port; the accepting loop is [run]. */
@@ -114,9 +147,9 @@
 
     /** False if the other controller cannot be reached now. */
     @Synchronized
-    fun tell(progress: List<Progress>): Boolean = try {
+    fun tell(told: Told): Boolean = try {
         val link = open ?: connect().also { open = it }
-        Frames.write(link.sink, progress)
+        Frames.write(link.sink, told)
         true
     } catch (e: IOException) {
         open?.socket?.close()
--- a/src/main/kotlin/io/reedmast/placement/Placer.kt
+++ b/src/main/kotlin/io/reedmast/placement/Placer.kt
@@ -21,6 +21,7 @@
     private val log = LoggerFactory.getLogger("slice")
     private var attempts = 0L
     private var nextPass = 0L
+    private var lastPass = 0L
 
     /** Passes made so far, for those who count work. */
     var passes = 0L
@@ -28,7 +29,10 @@
 
     fun passIfDue(now: Long) {
         if (!book.placeWanted || now < nextPass || !book.fresh()) return
+        // Each pass that places something costs puts: tasks of arrays that follow each other on a machine share them.
+        if (now < lastPass + ARRAY_PASS_EVERY_MS && book.jobs.values.none { it.waitingCount > 0 && book.startsSoon(it) }) return
         book.placeWanted = false
+        lastPass = now
         nextPass = now + PASS_EVERY_MS
         passes++
         pass(now)
@@ -193,6 +197,7 @@
         const val MOST_RESERVED = 0.25
         const val ARRAY_WAITS_REPORTS = 4
         const val PASS_EVERY_MS = 100L
+        const val ARRAY_PASS_EVERY_MS = 250L
         const val ATTEMPT_BITS = 22
         const val MOST_PREEMPTING = 50
     }
--- a/src/main/kotlin/io/reedmast/workers/Commands.kt
+++ b/src/main/kotlin/io/reedmast/workers/Commands.kt
@@ -17,8 +17,16 @@
     private var greetDue = 0L
     private var greeting = false
 
+    /**
+     * The slice has just been taken: workers whose address is known are shown our token at once.
+     *
+     * Without it a machine takes no work before it has reported twice, which is several seconds for each failover.
+     */
     fun begin() {
         greetDue = book.clock.now() + GREET_AFTER_MS
+        for (machine in book.machines.values.toList()) {
+            if (!machine.trusted && machine.retirement == null) greet(machine, machine.addr ?: continue, machine.tenure, again = true)
+        }
     }
 
     fun launch(placement: Placement) {
--- a/src/main/kotlin/io/reedmast/workers/Machine.kt
+++ b/src/main/kotlin/io/reedmast/workers/Machine.kt
@@ -30,13 +30,15 @@
     val firstSeenAt: Long,
     /** The lowest token that proves, once the worker has seen it, that no earlier owner's command can arrive any more. */
     val floor: Long,
+    private val facts: HostFacts = HostFacts(record.name),
 ) {
     val name: String get() = record.name
+    var addr: String? by facts::addr
+    val images: Map<String, Double> get() = facts.images
     val placements = LinkedHashMap<TaskId, Placement>()
 
     /** Newest report, if any came under this owner's token: only then is it known what is on the machine. */
     var trusted = false
-    var addr: String? = null
     var tenure = 0L
     var tally = -1L
     var baton = 0L
@@ -71,9 +73,6 @@
     private val late = HashMap<Pair<TaskId, Long>, LateLaunch>()
     var directCalls = 0
 
-    /** Images fetched here, least recently used first, with their sizes. */
-    val images = LinkedHashMap<String, Double>(8, 0.75f, true)
-
     /** Jobs that failed here since the last success. */
     val failedJobs = HashSet<String>()
 
@@ -139,17 +138,7 @@
     /** Messages overtake each other; only the newest says what is on the machine. */
     fun isNewer(report: Report): Boolean = report.tenure > tenure || (report.tenure == tenure && report.tally > tally)
 
-    fun noteImage(bundle: String, sizeGb: Double) {
-        images[bundle] = sizeGb
-        val room = flavor?.cacheGb ?: return
-        if (room <= 0.0) return
-        val oldest = images.entries.iterator()
-        var total = images.values.sum()
-        while (total > room && images.size > 1 && oldest.hasNext()) {
-            total -= oldest.next().value
-            oldest.remove()
-        }
-    }
+    fun noteImage(bundle: String, sizeGb: Double) = facts.noteImage(bundle, sizeGb, flavor?.cacheGb ?: 0.0)
 
     companion object {
         const val EPSILON = 1e-9
--- a/src/test/kotlin/io/reedmast/SocketTest.kt
+++ b/src/test/kotlin/io/reedmast/SocketTest.kt
@@ -12,12 +12,14 @@
 import io.reedmast.peers.PeerClient
 import io.reedmast.peers.PeerServer
 import io.reedmast.peers.Progress
+import io.reedmast.peers.Told
 import io.reedmast.settings.Settings
 import io.reedmast.settings.Tuning
 import io.reedmast.state.StateClient
 import io.reedmast.wire.Caller
 import io.reedmast.wire.Fields
 import io.reedmast.wire.Tree
+import io.reedmast.workers.HostNews
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -230,15 +232,22 @@
     @Test
     fun `peers tell each other of progress in frames of bounded size, and nobody waits for one that is not there`() {
         val address = InetSocketAddress("127.0.0.1", freePort())
-        val heard = LinkedBlockingQueue<List<Progress>>()
+        val heard = LinkedBlockingQueue<Told>()
         val server = PeerServer(address, backendThreads) { heard.add(it) }
         val listening = server.open()
         backendThreads.execute { server.run(listening) }
-        val told = (0 until 5_000).map { Progress("wk-%06d".format(it), it, 7) }
-        assertTrue(PeerClient(address).tell(told))
-        val got = ArrayList<Progress>()
-        while (got.size < told.size) got.addAll(checkNotNull(heard.poll(5, TimeUnit.SECONDS)) { "${got.size} of ${told.size} heard" })
-        assertEquals(told, got)
-        assertEquals(false, PeerClient(InetSocketAddress("127.0.0.1", freePort())).tell(told))
+        val jobs = (0 until 5_000).map { Progress("wk-%06d".format(it), it, 7) }
+        val hosts = (0 until 500).map { HostNews("host-%06d".format(it), "10.1.0.1:$it", listOf("img-1" to 1.5, "img-$it" to 2.0)) }
+        assertTrue(PeerClient(address).tell(Told(jobs, hosts)))
+        val gotJobs = ArrayList<Progress>()
+        val gotHosts = ArrayList<HostNews>()
+        while (gotHosts.size < hosts.size) {
+            val told = checkNotNull(heard.poll(5, TimeUnit.SECONDS)) { "${gotJobs.size} jobs and ${gotHosts.size} machines heard" }
+            gotJobs.addAll(told.jobs)
+            gotHosts.addAll(told.hosts)
+        }
+        assertEquals(jobs, gotJobs)
+        assertEquals(hosts, gotHosts)
+        assertEquals(false, PeerClient(InetSocketAddress("127.0.0.1", freePort())).tell(Told(jobs, hosts)))
     }
 }
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -8,7 +8,7 @@
 import io.reedmast.app.WorkerAnswer
 import io.reedmast.fleet.Rental
 import io.reedmast.jobs.UserAnswer
-import io.reedmast.peers.Progress
+import io.reedmast.peers.Told
 import io.reedmast.settings.Settings
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Change
@@ -236,8 +236,8 @@
 
             override fun writeFullness(): Double = 1.0
 
-            override fun tellPeers(progress: List<Progress>) {
-                if (!peersCut) nodes.filter { it.index != index && !it.peersCut }.forEach { peer -> after(2) { peer.controller?.peersTold(progress) } }
+            override fun tellPeers(told: Told) {
+                if (!peersCut) nodes.filter { it.index != index && !it.peersCut }.forEach { peer -> after(2) { peer.controller?.peerTold(told) } }
             }
 
             override fun direct(addr: String, baton: Long, tenure: Long, orders: List<Order>, done: (Reply) -> Unit) {
