--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -261,7 +261,8 @@
         chargeIfDue(now)
         commands.greet(now)
         upkeep.tick(now)
-        if (book.jobs.values.any { it.waitingCount > 0 && it.notBefore in 1..now }) book.placeWanted = true
+        // Waiting may itself let work start: after a failure's pause, or once it has waited long enough to preempt.
+        if (book.jobs.values.any { it.waitingCount > 0 }) book.placeWanted = true
         wants.writeTotals(now)
         tellPeers(now)
     }
