--- a/src/test/kotlin/io/reedmast/ScenarioTest.kt
+++ b/src/test/kotlin/io/reedmast/ScenarioTest.kt
@@ -96,6 +96,7 @@
                 "cut-machine" -> world.workers[words[1]]?.cut = words[2] == "on"
                 "deafen" -> world.workers[words[1]]?.deaf = words[2] == "on"
                 "copies" -> world.workers[words[1]]?.copiesAfterMs = (words[2].toDouble() * 1000).toLong()
+                "lag-jobs" -> world.nodes.first { it.label == words[1] }.jobsLagMs = (words[2].toDouble() * 1000).toLong()
                 "slow-state" -> world.stateSlow = words[1].toLong()
                 "spoil" -> world.state.spoil(words[1])
                 // Its power is gone: nobody is told.
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -150,6 +150,11 @@
         var life = 0
         var controller: Controller? = null
         private var watchedTo = 0L
+        private var jobsWatchedTo = 0L
+
+        /** The watch on jobs answers this much later than it could. */
+        var jobsLagMs = 0L
+        private var jobsDue = 0L
         private var loaded = false
 
         fun start() {
@@ -181,12 +186,17 @@
                     loaded = true
                     watchedTo = state.epoch
                     c.cluster.snapshot(state.list("c/"), now())
+                    jobsWatchedTo = watchedTo
                     c.cluster.jobsSnapshot(state.list("j/live/"), watchedTo, now())
                 } else {
                     val news = state.since(watchedTo)
                     watchedTo = state.epoch
                     c.cluster.clusterEvents(news.filter { it.path.startsWith("c/") }, now())
-                    c.cluster.jobEvents(news.filter { it.path.startsWith("j/") }, now())
+                    if (now() >= jobsDue) {
+                        jobsDue = now() + jobsLagMs
+                        c.cluster.jobEvents(state.since(jobsWatchedTo).filter { it.path.startsWith("j/") }, now())
+                        jobsWatchedTo = state.epoch
+                    }
                 }
             }
             after(40 * stateSlow) { watch(of) }
