--- a/src/main/kotlin/io/reedmast/fleet/Wants.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Wants.kt
@@ -107,10 +107,10 @@
 
     private fun ArrayDeque<SliceBook.Arrival>.since(at: Long) = apply { while (isNotEmpty() && first().at < at) removeFirst() }
 
-    /** Array work that arrives in a second, in CPU seconds, as far as it is sure: one deviation below the mean. */
+    /** Array work that arrives in a second, in CPU seconds, as far as it is sure: below the mean by one deviation and a half. */
     private fun arrayRate(): Double {
         val arrivals = book.arrayArrivals.since(book.clock.now() - ARRAYS_WINDOW_MS)
-        return maxOf(0.0, arrivals.sumOf { it.cpus } - sqrt(arrivals.sumOf { it.cpus * it.cpus })) * 1000.0 / ARRAYS_WINDOW_MS
+        return maxOf(0.0, arrivals.sumOf { it.cpus } - RATE_DEVIATIONS * sqrt(arrivals.sumOf { it.cpus * it.cpus })) * 1000.0 / ARRAYS_WINDOW_MS
     }
 
     private fun shortestBoot(): Double? = book.machines.values.mapNotNull { it.flavor?.startupS }.minOrNull()
@@ -197,7 +197,7 @@
             work += job.waitingCount * spec.cpus * spec.guessS
             val leftS = (book.dueMs(job) - now) / 1000.0 - spec.guessS
             val seconds = maxOf(leftS, bootS * LATEST_BOOTS)
-            val lacking = work * ESTIMATE_SLACK / seconds + arriving - cpus
+            val lacking = maxOf(work * ESTIMATE_SLACK, work + arriving * seconds) / seconds - cpus
             if (lacking <= 0.0) return 0
             val some = minOf(tasks, ceil(lacking / maxOf(spec.cpus, Machine.EPSILON)).toInt())
             cpus += some * spec.cpus
@@ -274,6 +274,7 @@
         const val KEPT_REPORTS = 4
         const val BOOT_WORTH = 0.25
         const val ARRIVALS_WINDOW_MS = 180_000L
+        const val RATE_DEVIATIONS = 1.5
         const val ARRAYS_WINDOW_MS = 40_000L
         const val RESERVE_S = 10.0
         const val MIN_TOTALS_MS = 1_000L
