--- a/src/test/kotlin/io/reedmast/ScenarioTest.kt
+++ b/src/test/kotlin/io/reedmast/ScenarioTest.kt
@@ -144,6 +144,10 @@
 
                 "returned" -> assertTrue(words[1] in world.returned, "$at: returned are ${world.returned}")
 
+                "starts" -> assertEquals(words[2].toInt(), world.starts[words[1]], at)
+
+                "kept" -> assertTrue(words[1] in world.workers, "$at: returned are ${world.returned}")
+
                 // No node counts the machine to any slice.
                 "unknown" -> assertTrue(world.nodes.none { it.controller?.cluster?.sliceOfHost(words[1]) != null }, at)
 
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -40,6 +40,9 @@
     val jobs = HashMap<String, SimJob>()
     val broken = ArrayList<String>()
     val told = HashMap<String, String>()
+
+    /** How often tasks of a job have started. */
+    val starts = HashMap<String, Int>()
     private val charters = HashMap<String, List<String>>()
     private var hosts = 0
     var capacity = Int.MAX_VALUE
@@ -97,6 +100,7 @@
 
     /** Checks, when a task starts, that the rules hold. */
     fun started(worker: SimWorker, id: TaskId) {
+        starts.merge(id.ref, 1, Int::plus)
         val job = jobs.getValue(id.ref)
         val everywhere = workers.values.flatMap { w -> w.onMachine().map { w to it } }
         if (everywhere.count { it.second == id } > 1) breach("ran_twice $id on ${everywhere.filter { it.second == id }.map { it.first.name }}")
