--- a/src/main/kotlin/io/reedmast/fleet/Wants.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Wants.kt
@@ -62,10 +62,17 @@
         }
     }
 
-    /** The room of machines that have not come up yet. */
-    fun coming(): List<Room> = book.machines.values
-        .filter { !it.trusted && it.retirement == null && it.flavor != null }
-        .map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
+    /**
+     * The room of machines that have not come up yet, or have not reported to us yet since we took the slice.
+     *
+     * One that was up before and does not report is rather dead than booting: its room must not hide what is wanted.
+     */
+    fun coming(): List<Room> {
+        val justTaken = book.clock.now() - book.activeAt < book.settings.workers.reportS * 1000 * REPORTS_TO_SHOW_UP
+        return book.machines.values
+            .filter { !it.trusted && it.retirement == null && it.flavor != null && (justTaken || !it.everHeard) }
+            .map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
+    }
 
     /** How many of [count] tasks find no room in [rooms]. */
     fun left(spec: JobSpec, count: Int, rooms: List<Room>): Int {
@@ -197,7 +204,7 @@
             work += job.waitingCount * spec.cpus * spec.guessS
             val leftS = (book.dueMs(job) - now) / 1000.0 - spec.guessS
             val seconds = maxOf(leftS, bootS * LATEST_BOOTS)
-            val lacking = maxOf(work * ESTIMATE_SLACK, work + arriving * seconds) / seconds - cpus
+            val lacking = maxOf(work * ESTIMATE_SLACK / seconds, arriving) - cpus
             if (lacking <= 0.0) return 0
             val some = minOf(tasks, ceil(lacking / maxOf(spec.cpus, Machine.EPSILON)).toInt())
             cpus += some * spec.cpus
@@ -277,6 +284,7 @@
         const val RATE_DEVIATIONS = 1.5
         const val ARRAYS_WINDOW_MS = 40_000L
         const val RESERVE_S = 10.0
+        const val REPORTS_TO_SHOW_UP = 2
         const val MIN_TOTALS_MS = 1_000L
         const val IDLE_TO_MOVE_MS = 2_000L
         const val MAX_KINDS = 12
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -137,6 +137,8 @@
 
     private fun added(host: HostRecord, known: Machine?): Machine {
         val machine = Machine(host, book.flavorOf(host.build), clock.now(), token, records.roster.of(host.name))
+        // An address known from another owner: the machine was up before.
+        machine.everHeard = machine.addr != null
         known?.placements?.values?.toList()?.forEach { old ->
             val placement = Placement(old.job, old.task, old.attempt, machine, old.madeAt).apply { committed = old.committed }
             old.job.chunkOf(old.task).placements[old.task] = placement
--- a/src/main/kotlin/io/reedmast/workers/Upkeep.kt
+++ b/src/main/kotlin/io/reedmast/workers/Upkeep.kt
@@ -131,7 +131,7 @@
     }
 
     private fun idle(machine: Machine, now: Long, spare: Wants.Spare): Boolean {
-        if (machine.placements.isNotEmpty() || !machine.everHeard) return false
+        if (machine.placements.isNotEmpty() || !machine.trusted) return false
         val patience = wants.patienceMs(machine)
         return now - machine.emptySince > patience && now - book.activeAt > patience && !spare.needs(machine)
     }
--- a/src/test/kotlin/io/reedmast/CountedWorkTest.kt
+++ b/src/test/kotlin/io/reedmast/CountedWorkTest.kt
@@ -1,5 +1,6 @@
 package io.reedmast
 
+import io.reedmast.ownership.HostPart
 import io.reedmast.settings.CloudLimits
 import io.reedmast.settings.Member
 import io.reedmast.settings.NodeIndex
@@ -11,6 +12,8 @@
 import io.reedmast.state.Haste
 import io.reedmast.state.WriteBudget
 import io.reedmast.wire.Flavor
+import io.reedmast.wire.Tree
+import io.reedmast.workers.HostRecord
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -19,7 +22,7 @@
 class CountedWorkTest {
     private val nodes = 3
     private val machines = 300
-    private val valueBytes = 8192
+    private var valueBytes = 8192
     private val flavors = listOf(Flavor("m", 16.0, 0.0, 64.0, 50.0, 0.5, 1.0, 0.3, 30.0, listOf("x")))
 
     private fun settings(node: Int) = Settings(
@@ -80,6 +83,34 @@
         assertTrue(world.messages < machines * 70 / 3 * 1.2 + 4_000 * 4, "${world.messages} messages")
     }
 
+    @Test
+    fun `many jobs placed at one moment are stored in transactions that the service takes`() {
+        valueBytes = 32 * 1024
+        val world = World(::settings, nodes, flavors)
+        world.capacity = 20
+        repeat(20) { world.addWorker("m", "x", false, 0) }
+        world.nodes.forEach { it.start() }
+        world.runUntil(8_000)
+        for (i in 0 until 100) {
+            val ref = "wk-%06d".format(i)
+            val spec = World.spec(ref, mapOf("crew" to "t0", "pieces" to "1", "shape" to "service"))
+            world.jobs[ref] = World.SimJob(spec, 0, false)
+            world.nodes[0].ask(ref, { c, answer -> c.submit(spec, answer) })
+        }
+        world.runUntil(60_000)
+        assertEquals(emptyList<String>(), world.broken)
+        assertEquals(100, world.workers.values.sumOf { it.onMachine().size })
+    }
+
+    @Test
+    fun `a slice's machines are spread over records below the limit`() {
+        val hosts = (0 until 200).map { HostRecord("host-%06d".format(it), "m", "x", it % 2 == 0) }
+        val first = HostPart.EMPTY.with(hosts, 1024)
+        assertTrue(Tree.jsonSize(first.toFields()) <= 1024 && first.hosts.size in 20..199, "${first.hosts.size} machines")
+        assertEquals(first, first.with(hosts.take(10), 1024))
+        assertEquals(first, HostPart.parse(Tree.readCbor(Tree.writeCbor(first.toFields()))).copy(hosts = first.hosts))
+    }
+
     @Test
     fun `clean-up leaves part of the budget to what somebody waits for`() {
         var now = 0L
--- a/src/test/kotlin/io/reedmast/ScenarioTest.kt
+++ b/src/test/kotlin/io/reedmast/ScenarioTest.kt
@@ -144,7 +144,7 @@
 
                 "returned" -> assertTrue(words[1] in world.returned, "$at: returned are ${world.returned}")
 
-                "starts" -> assertEquals(words[2].toInt(), world.starts[words[1]], at)
+                "starts" -> assertEquals(words[2].toInt(), world.starts[words[1]] ?: 0, at)
 
                 "kept" -> assertTrue(words[1] in world.workers, "$at: returned are ${world.returned}")
 
