--- a/src/main/kotlin/io/reedmast/fleet/Wants.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Wants.kt
@@ -62,10 +62,17 @@
         }
     }
 
-    /** The room of machines that have not come up yet. */
-    fun coming(): List<Room> = book.machines.values
-        .filter { !it.trusted && it.retirement == null && it.flavor != null }
-        .map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
+    /**
+     * The room of machines that have not come up yet, or have not reported to us yet since we took the slice.
+     *
+     * One that was up before and does not report is rather dead than booting: its room must not hide what is wanted.
+     */
+    fun coming(): List<Room> {
+        val justTaken = book.clock.now() - book.activeAt < book.settings.workers.reportS * 1000 * REPORTS_TO_SHOW_UP
+        return book.machines.values
+            .filter { !it.trusted && it.retirement == null && it.flavor != null && (justTaken || !it.everHeard) }
+            .map { Room(it.record, it.freeCpus, it.freeGpus, it.freeMemGb) }
+    }
 
     /** How many of [count] tasks find no room in [rooms]. */
     fun left(spec: JobSpec, count: Int, rooms: List<Room>): Int {
@@ -107,10 +114,10 @@
 
     private fun ArrayDeque<SliceBook.Arrival>.since(at: Long) = apply { while (isNotEmpty() && first().at < at) removeFirst() }
 
-    /** Array work that arrives in a second, in CPU seconds, as far as it is sure: one deviation below the mean. */
+    /** Array work that arrives in a second, in CPU seconds, as far as it is sure: below the mean by one deviation and a half. */
     private fun arrayRate(): Double {
         val arrivals = book.arrayArrivals.since(book.clock.now() - ARRAYS_WINDOW_MS)
-        return maxOf(0.0, arrivals.sumOf { it.cpus } - sqrt(arrivals.sumOf { it.cpus * it.cpus })) * 1000.0 / ARRAYS_WINDOW_MS
+        return maxOf(0.0, arrivals.sumOf { it.cpus } - RATE_DEVIATIONS * sqrt(arrivals.sumOf { it.cpus * it.cpus })) * 1000.0 / ARRAYS_WINDOW_MS
     }
 
     private fun shortestBoot(): Double? = book.machines.values.mapNotNull { it.flavor?.startupS }.minOrNull()
@@ -197,7 +204,7 @@
             work += job.waitingCount * spec.cpus * spec.guessS
             val leftS = (book.dueMs(job) - now) / 1000.0 - spec.guessS
             val seconds = maxOf(leftS, bootS * LATEST_BOOTS)
-            val lacking = work * ESTIMATE_SLACK / seconds + arriving - cpus
+            val lacking = maxOf(work * ESTIMATE_SLACK / seconds, arriving) - cpus
             if (lacking <= 0.0) return 0
             val some = minOf(tasks, ceil(lacking / maxOf(spec.cpus, Machine.EPSILON)).toInt())
             cpus += some * spec.cpus
@@ -274,8 +281,10 @@
         const val KEPT_REPORTS = 4
         const val BOOT_WORTH = 0.25
         const val ARRIVALS_WINDOW_MS = 180_000L
+        const val RATE_DEVIATIONS = 1.5
         const val ARRAYS_WINDOW_MS = 40_000L
         const val RESERVE_S = 10.0
+        const val REPORTS_TO_SHOW_UP = 2
         const val MIN_TOTALS_MS = 1_000L
         const val IDLE_TO_MOVE_MS = 2_000L
         const val MAX_KINDS = 12
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -40,6 +40,9 @@
     val jobs = HashMap<String, SimJob>()
     val broken = ArrayList<String>()
     val told = HashMap<String, String>()
+
+    /** How often tasks of a job have started. */
+    val starts = HashMap<String, Int>()
     private val charters = HashMap<String, List<String>>()
     private var hosts = 0
     var capacity = Int.MAX_VALUE
@@ -97,6 +100,7 @@
 
     /** Checks, when a task starts, that the rules hold. */
     fun started(worker: SimWorker, id: TaskId) {
+        starts.merge(id.ref, 1, Int::plus)
         val job = jobs.getValue(id.ref)
         val everywhere = workers.values.flatMap { w -> w.onMachine().map { w to it } }
         if (everywhere.count { it.second == id } > 1) breach("ran_twice $id on ${everywhere.filter { it.second == id }.map { it.first.name }}")
@@ -150,6 +154,11 @@
         var life = 0
         var controller: Controller? = null
         private var watchedTo = 0L
+        private var jobsWatchedTo = 0L
+
+        /** The watch on jobs answers this much later than it could. */
+        var jobsLagMs = 0L
+        private var jobsDue = 0L
         private var loaded = false
 
         fun start() {
@@ -181,12 +190,17 @@
                     loaded = true
                     watchedTo = state.epoch
                     c.cluster.snapshot(state.list("c/"), now())
+                    jobsWatchedTo = watchedTo
                     c.cluster.jobsSnapshot(state.list("j/live/"), watchedTo, now())
                 } else {
                     val news = state.since(watchedTo)
                     watchedTo = state.epoch
                     c.cluster.clusterEvents(news.filter { it.path.startsWith("c/") }, now())
-                    c.cluster.jobEvents(news.filter { it.path.startsWith("j/") }, now())
+                    if (now() >= jobsDue) {
+                        jobsDue = now() + jobsLagMs
+                        c.cluster.jobEvents(state.since(jobsWatchedTo).filter { it.path.startsWith("j/") }, now())
+                        jobsWatchedTo = state.epoch
+                    }
                 }
             }
             after(40 * stateSlow) { watch(of) }
