--- a/src/main/kotlin/io/reedmast/fleet/Leader.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Leader.kt
@@ -18,11 +18,12 @@
 import io.reedmast.wire.count
 import io.reedmast.wire.list
 import io.reedmast.wire.maps
+import io.reedmast.wire.optionalTexts
 import io.reedmast.workers.HostRecord
 import org.slf4j.LoggerFactory
 
 /** What an owner last wrote of its slice; [hosts] is the stamp of the newest change to its machines that it knew. */
-private class Totals(val slice: SliceIndex, val hosts: Long, val ratio: Double, val demand: List<Demand>, val idle: List<String>)
+private class Totals(val slice: SliceIndex, val hosts: Long, val ratio: Double, val demand: List<Demand>, val idle: List<String>, val dark: List<String>)
 
 /** The slice that a machine is meant for, and the highest token that its worker has seen. */
 private data class Destination(val slice: SliceIndex, val seen: Long)
@@ -103,6 +104,7 @@
             value.amount("ratio"),
             value.maps("demand").map { Demand.parse(it) },
             value.list("idle").filterIsInstance<String>(),
+            value.optionalTexts("dark").orEmpty(),
         )
     } catch (e: MalformedException) {
         log.error("{} cannot be read: {}", item.path, e.message)
@@ -122,7 +124,7 @@
             resizeDue = now + (tuning.resizeS * 1000).toLong()
             resize(wanting, totals)
         }
-        rent(wanting.filter { it.slice !in moving }, now)
+        rent(wanting.filter { it.slice !in moving }, totals.flatMapTo(HashSet()) { it.dark }, now)
     }
 
     private fun awaits(slice: SliceIndex) = unassigned.values.any { it.slice == slice }
@@ -160,7 +162,7 @@
      * Rents for all slices and all that they want together: the cloud takes few calls, and up to [MOST_AT_ONCE] machines
      * with each.
      */
-    private fun rent(wanting: List<Totals>, now: Long) {
+    private fun rent(wanting: List<Totals>, dark: Set<String>, now: Long) {
         val parts = LinkedHashMap<Offer, ArrayList<Part>>()
         val held = HashMap<String, Int>()
         for (slice in cluster.records.indices) cluster.hostsOf(SliceIndex(slice)).forEach { held.merge(it.yard, 1, Int::plus) }
@@ -169,7 +171,7 @@
                 var left = demand
                 // Spread over zones: a zone that is cut off takes only its part with it.
                 while (left.count > 0) {
-                    val (offer, count) = shop(left, flavors().values, { (soldOutUntil[it] ?: 0L) > now }, { held[it] ?: 0 }) ?: break
+                    val (offer, count) = shop(left, flavors().values, { (soldOutUntil[it] ?: 0L) > now || it.yard in dark }, { held[it] ?: 0 }) ?: break
                     val zones = flavors().getValue(offer.build).yards.size
                     val some = if (demand.yard != null || zones < 2) minOf(count, MOST_AT_ONCE) else minOf(count, maxOf(MIN_IN_A_ZONE, count / zones))
                     held.merge(offer.yard, some, Int::plus)
--- a/src/main/kotlin/io/reedmast/fleet/Wants.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Wants.kt
@@ -212,6 +212,16 @@
         }
     }
 
+    /**
+     * Zones most of whose machines fell silent lately: a zone that is cut off. What is rented there cannot be reached either,
+     * and with its machines returned it would look like the zone with the most room.
+     */
+    private fun dark(now: Long): List<String> = book.givenUp.filter { (yard, times) ->
+        while (times.isNotEmpty() && now - times.first() > DARK_MS) times.removeFirst()
+        times.size >= LEAST_DARK &&
+            times.size > book.machines.values.count { it.record.yard == yard && it.trusted && now - it.lastHeardAt <= book.reportOverdueMs }
+    }.keys.toList()
+
     // ---- totals -----------------------------------------------------------------------------------------------------------
 
     /** Team totals and demand, every few seconds, and sooner when demand has changed. */
@@ -236,6 +246,7 @@
                 "ratio" to (waiting.minOfOrNull { book.ratio(it, wall) } ?: 0.0),
                 "demand" to demand.take(MAX_KINDS).map { it.toFields() },
                 "idle" to movable(now),
+                "dark" to dark(now),
             )
         val path = Keys.totals(slice)
         out.commit(
@@ -284,6 +295,8 @@
         const val RATE_DEVIATIONS = 1.5
         const val ARRAYS_WINDOW_MS = 40_000L
         const val RESERVE_S = 10.0
+        const val DARK_MS = 45_000L
+        const val LEAST_DARK = 4
         const val REPORTS_TO_SHOW_UP = 2
         const val MIN_TOTALS_MS = 1_000L
         const val IDLE_TO_MOVE_MS = 2_000L
--- a/src/main/kotlin/io/reedmast/jobs/SliceBook.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceBook.kt
@@ -46,6 +46,9 @@
     /** For whom a placement is being stopped: that many tasks of the job need no other victim. */
     val preemptedFor = HashMap<Placement, Job>()
 
+    /** Machines of a zone that were given up as silent or never came up, by when. */
+    val givenUp = HashMap<String, ArrayDeque<Long>>()
+
     /** Something has changed that may let waiting work start. */
     var placeWanted = false
 
@@ -163,7 +166,7 @@
 
     fun startsSoon(job: Job) = job.spec.service || settings.objectives.any { it.kind == "wait" && it.lot == job.spec.lot }
 
-    /** Several tasks ended in a row without a result: the job has a mistake, and the machines have not. */
+    /** It failed on several machines in a row: the job has a mistake, and the machines have not. */
     fun looksBad(job: Job) = job.failures >= FAILURES_OF_A_BAD_JOB
 
     /** When a worker's report is overdue: reports go out a quarter early or late. */
--- a/src/main/kotlin/io/reedmast/workers/Reports.kt
+++ b/src/main/kotlin/io/reedmast/workers/Reports.kt
@@ -144,8 +144,9 @@
 
             Cause.ERROR -> {
                 machine.failedJobs.add(job.spec.ref)
-                job.failedOn.add(machine)
-                job.failures++
+                // Several tasks that fail together on one machine say no more of the job than one does: counted each, they made
+                // a sick machine look like a job with a mistake, and the machine was kept.
+                if (job.failedOn.add(machine)) job.failures++
                 if (book.looksBad(job)) {
                     // It fails wherever it runs: the job has a mistake, and the machines have not.
                     job.failedOn.forEach { it.failedJobs.remove(job.spec.ref) }
--- a/src/main/kotlin/io/reedmast/workers/Upkeep.kt
+++ b/src/main/kotlin/io/reedmast/workers/Upkeep.kt
@@ -96,6 +96,7 @@
             if (now - maxOf(machine.lastHeardAt, book.activeAt) <= silentAfter + patience) continue
             log.info("{}: silent for {} s; it is replaced", machine.name, (now - machine.lastHeardAt) / 1000)
             machine.retirement = Retirement.SILENT
+            book.givenUp.getOrPut(machine.record.yard) { ArrayDeque() }.addLast(now)
         }
     }
 
--- a/src/test/kotlin/io/reedmast/ScenarioTest.kt
+++ b/src/test/kotlin/io/reedmast/ScenarioTest.kt
@@ -94,6 +94,9 @@
                 "cut-workers" -> world.nodes.first { it.label == words[1] }.workersCut = words[2] == "on"
                 "cut-peers" -> world.nodes.first { it.label == words[1] }.peersCut = words[2] == "on"
                 "cut-machine" -> world.workers[words[1]]?.cut = words[2] == "on"
+                // Nothing passes between a zone's machines, the coming ones included, and any node.
+                "darken" -> world.darken(words[1], words[2] == "on")
+                "sicken" -> world.workers.getValue(words[1]).sick = words[2] == "on"
                 "deafen" -> world.workers[words[1]]?.deaf = words[2] == "on"
                 "copies" -> world.workers[words[1]]?.copiesAfterMs = (words[2].toDouble() * 1000).toLong()
                 "lag-jobs" -> world.nodes.first { it.label == words[1] }.jobsLagMs = (words[2].toDouble() * 1000).toLong()
@@ -135,6 +138,11 @@
                     assertEquals(words[2].toInt(), running, at)
                 }
 
+                "running-in" -> {
+                    val running = world.workers.values.filter { it.yard == words[1] }.sumOf { w -> w.onMachine().count { it.ref == words[2] } }
+                    assertEquals(words[3].toInt(), running, at)
+                }
+
                 "running-at-least" -> {
                     val running = world.workers.values.sumOf { w -> w.onMachine().count { it.ref == words[1] } }
                     assertTrue(running >= words[2].toInt(), "$at: $running run")
--- a/src/test/kotlin/io/reedmast/sim/SimWorker.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimWorker.kt
@@ -42,6 +42,9 @@
     /** Neither answers nor commands reach this machine, while its reports arrive. */
     var deaf = false
 
+    /** Every task fails here soon after it has started. */
+    var sick = false
+
     /** Each report comes once more, this much later, to every node; 0: none does. */
     var copiesAfterMs = 0L
     var started = false
@@ -218,7 +221,7 @@
         world.started(this, task.id)
         when {
             task.id.task in job.completed && !job.spec.service -> later(1, task) { end(task, Cause.DONE) }
-            job.fails -> later(200, task) { end(task, Cause.ERROR) }
+            sick || job.fails -> later(200, task) { end(task, Cause.ERROR) }
             !job.spec.service -> later(job.runMs, task) {
                 job.completed.add(task.id.task)
                 end(task, Cause.DONE)
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -83,11 +83,19 @@
         val name = "host-%06d".format(hosts++)
         val worker = SimWorker(this, name, flavors.first { it.label == build }, yard, spot, time)
         workers[name] = worker
+        worker.cut = yard in dark
         workersByAddr[worker.addr] = worker
         after(bootMs) { worker.start() }
         return worker
     }
 
+    private val dark = HashSet<String>()
+
+    fun darken(yard: String, on: Boolean) {
+        if (on) dark.add(yard) else dark.remove(yard)
+        workers.values.filter { it.yard == yard }.forEach { it.cut = on }
+    }
+
     fun breach(what: String) {
         broken.add("${time / 1000.0} s: $what")
     }
