--- a/src/test/kotlin/io/reedmast/SocketTest.kt
+++ b/src/test/kotlin/io/reedmast/SocketTest.kt
@@ -54,6 +54,10 @@
     /** The next transaction that names this key is applied, and its answer lost. */
     @Volatile
     private var loseAnswerOf: String? = null
+
+    /** The watch on jobs is told, once, that the changes it asks for are no longer kept. */
+    @Volatile
+    private var tooOld = false
     private var front = 0
     private val backend = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50)
     private val backendThreads = Executors.newCachedThreadPool()
@@ -132,7 +136,9 @@
                 val after = query.substringAfter("after=").substringBefore('&').toLong()
                 val prefix = query.substringAfter("prefix=").substringBefore('&')
                 val news = log.filter { (it["stamp"] as Long) > after && ((it["put"] ?: it["delete"]) as String).startsWith(prefix) }
-                200 to mapOf("epoch" to epoch, "log" to news)
+                val gap = tooOld && prefix.startsWith("j")
+                if (gap) tooOld = false
+                if (gap) 410 to emptyMap() else 200 to mapOf("epoch" to epoch, "log" to news)
             }
         }
 
@@ -200,6 +206,20 @@
         assertEquals(null, loseAnswerOf)
     }
 
+    @Test
+    fun `after a gap in the watch, jobs are read anew`() {
+        synchronized(this) {
+            // Accepted by another node, and no longer among the changes that are kept.
+            epoch++
+            stored["j/live/0/wk-000009"] = mapOf("spec" to job + ("ref" to "wk-000009"), "chunk" to 10, "at" to 1) to epoch
+        }
+        assertEquals(404, call("GET", "/submissions/wk-000009", null).first)
+        tooOld = true
+        val patience = System.nanoTime() + 10_000_000_000L
+        while (call("GET", "/submissions/wk-000009", null).first != 200 && System.nanoTime() < patience) Thread.sleep(50)
+        assertEquals(200, call("GET", "/submissions/wk-000009", null).first)
+    }
+
     @Test
     fun `what cannot be taken gets the status that says so`() {
         val cases = listOf(
