--- a/src/main/kotlin/io/reedmast/fleet/Leader.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Leader.kt
@@ -9,6 +9,7 @@
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
+import io.reedmast.state.Unreadable
 import io.reedmast.wire.Flavor
 import io.reedmast.wire.ListedHost
 import io.reedmast.wire.MalformedException
@@ -40,6 +41,7 @@
     private val charterPrefix: String,
 ) {
     private val log = LoggerFactory.getLogger("fleet")
+    private val unreadable = Unreadable()
     private var wasLeading = false
     private var charters = 0L
     private var totalsAsked = false
@@ -107,10 +109,10 @@
             value.optionalTexts("dark").orEmpty(),
         )
     } catch (e: MalformedException) {
-        log.error("{} cannot be read: {}", item.path, e.message)
+        unreadable.note(item.path, e.message)
         null
     } catch (e: NumberFormatException) {
-        log.error("{} belongs to no slice", item.path)
+        unreadable.note(item.path, "it belongs to no slice")
         null
     }
 
--- a/src/main/kotlin/io/reedmast/jobs/Job.kt
+++ b/src/main/kotlin/io/reedmast/jobs/Job.kt
@@ -37,7 +37,6 @@
     var seen = false
     var runningSince = 0L
     var stopReason: StopReason? = null
-    var stopSentAt = 0L
     val running: Boolean get() = runningSince != 0L
 }
 
--- a/src/main/kotlin/io/reedmast/jobs/JobDoor.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobDoor.kt
@@ -142,7 +142,7 @@
                 jobs.noteEnd(ref, end)
                 answer(ended(ref, end))
             } catch (e: MalformedException) {
-                log.error("{}: its final record cannot be read: {}", ref, e.message)
+                jobs.unreadable.note(Keys.end(ref), e.message)
                 answer(later())
             }
         }
--- a/src/main/kotlin/io/reedmast/jobs/JobIndex.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobIndex.kt
@@ -6,13 +6,13 @@
 import io.reedmast.settings.SliceIndex
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
+import io.reedmast.state.Unreadable
 import io.reedmast.wire.Fields
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.MalformedException
 import io.reedmast.wire.count
 import io.reedmast.wire.map
 import io.reedmast.wire.optionalFlag
-import org.slf4j.LoggerFactory
 
 /** How a job ended. */
 enum class FinalStage(val wire: String) {
@@ -61,7 +61,7 @@
  * users asking, those reads were more than the service takes.
  */
 class JobIndex(private val settings: Settings, private val owned: () -> List<SliceOwner>) {
-    private val log = LoggerFactory.getLogger("jobs")
+    val unreadable = Unreadable()
     private val live = HashMap<String, LiveJob>()
 
     /** Final states never change, so those that do not fit are read again. */
@@ -93,7 +93,7 @@
                 else -> put(ref, path.removePrefix(Keys.LIVE).substringBefore('/').toIntOrNull(), value, stamp)
             }
         } catch (e: MalformedException) {
-            log.error("record {} cannot be read: {}", path, e.message)
+            unreadable.note(path, e.message)
         }
     }
 
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -18,6 +18,7 @@
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
 import io.reedmast.state.Outcome
+import io.reedmast.state.Unreadable
 import io.reedmast.state.Write
 import io.reedmast.wire.Fields
 import io.reedmast.wire.Flavor
@@ -51,6 +52,7 @@
     private val flavors: () -> Collection<Flavor>,
 ) : SliceRecords {
     private val log = LoggerFactory.getLogger("cluster")
+    private val unreadable = Unreadable()
     private val slices = (0 until settings.slices).map { SliceIndex(it) }
     val records = arrayOfNulls<Held>(settings.slices)
     private val parts = Array(settings.slices) { TreeMap<Int, HeldPart>() }
@@ -275,7 +277,7 @@
         try {
             read()
         } catch (e: MalformedException) {
-            log.error("record {} cannot be read: {}", what, e.message)
+            unreadable.note(what, e.message)
         }
     }
 
--- a/src/main/kotlin/io/reedmast/workers/Commands.kt
+++ b/src/main/kotlin/io/reedmast/workers/Commands.kt
@@ -39,7 +39,6 @@
         if (reason != StopReason.ABORTED) log.info("{} try {}: to be stopped on {}: {}", placement.id, placement.attempt, placement.machine.name, reason)
         val machine = placement.machine
         if (placement.committed && machine.trusted && placement.launchTenure == machine.tenure) {
-            placement.stopSentAt = book.clock.now()
             outbox.getOrPut(machine) { ArrayList() }.add(stopOrder(placement))
         }
     }
