--- a/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
@@ -58,6 +58,7 @@
             answer(UserAnswer(422, error = "a task fits no allowed machine type"))
             return
         }
+        val askedAt = clock.now()
         val slice = settings.sliceOf(team).value
         val record = LiveRecord(spec, ProgressPage.chunkSizeFor(settings.stateLimits.valueBytes), clock.wall(), aborted = false).toFields()
         val path = Keys.live(slice, spec.jobId)
@@ -67,8 +68,8 @@
                 when (outcome) {
                     is Outcome.Applied -> {
                         log.info("{}: accepted, {} tasks of {} for {}", spec.jobId, spec.taskCount, spec.jobClass, spec.teamName)
-                        answer(UserAnswer(201, JobStatus(spec.jobId, JobState.QUEUED)))
                         jobs.see(path, record, outcome.revision)
+                        accepted(spec.jobId, askedAt, answer)
                     }
 
                     is Outcome.Conflict -> poll(spec.jobId) { answer(if (it.status == 404) later() else it) }
@@ -79,6 +80,14 @@
         if (!out.commit(change, refusable = true)) answer(UserAnswer(429, error = "overloaded", retryAfterS = RETRY_AFTER_S))
     }
 
+    /**
+     * The job's record is stored. Where that was found out only after a lost answer, the job may have been seen, cancelled and
+     * ended through other nodes since, and its present state is the answer.
+     */
+    private fun accepted(jobId: String, askedAt: Long, answer: (UserAnswer) -> Unit) {
+        if (clock.now() - askedAt > LATE_MS) poll(jobId, answer) else answer(UserAnswer(201, JobStatus(jobId, JobState.QUEUED)))
+    }
+
     private fun refusal(spec: JobSpec, maxCpus: Double, maxGpus: Double): String? {
         val times = if (spec.service) spec.taskCount.toDouble() else 1.0
         val above = (maxCpus > 0 && spec.cpus * times > maxCpus + SLACK) || (maxGpus > 0 && spec.gpus * times > maxGpus + SLACK)
@@ -183,6 +192,9 @@
         val UNKNOWN = UserAnswer(404, error = "no such job")
         const val RETRY_AFTER_S = 1
         const val ABORT_TRIES = 4
+
+        /** Later than any answer of the state service that was not lost, and sooner than a user turns to another node. */
+        const val LATE_MS = 1_500L
         const val SLACK = 1e-9
     }
 }
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -19,8 +19,8 @@
 
 /**
  * Plays a day in the stand-in world. A line is `at SECONDS VERB ARGUMENTS`, in order of time; before them
- * `nodes N`, `value-kb N`, `team NAME CPUS MAX`, `machine-type NAME CPUS BOOT_S`, `machine TYPE ZONE [spot]`, `capacity N`,
- * `seed N`. The rules of the protocol, with those that its users added, are checked throughout; `expect` lines say what else
+ * `nodes N`, `value-kb N`, `team NAME CPUS MAX`, `machine-type NAME CPUS BOOT_S`, `machine TYPE ZONE [spot]`,
+ * `machines N TYPE ZONE [spot]`, `capacity N`, `seed N`, `limits WRITES_PER_S PAGE_ITEMS KEPT_CHANGES`. The rules of the protocol, with those that its users added, are checked throughout; `expect` lines say what else
  * must hold.
  */
 class Scenario(lines: List<String>) {
@@ -58,6 +58,8 @@
     fun run() {
         given("capacity").forEach { world.capacity = it[1].toInt() }
         given("machine").forEach { world.addWorker(it[1], it[2], "spot" in it, 0) }
+        given("machines").forEach { words -> repeat(words[1].toInt()) { world.addWorker(words[2], words[3], "spot" in words, 0) } }
+        given("limits").forEach { limit(it[1].toDouble(), it[2].toInt(), it[3].toInt()) }
         world.nodes.forEach { it.start() }
         given("seed").forEach { world.random = Random(it[1].toLong()) }
         checkRules()
@@ -68,12 +70,28 @@
         assertEquals(emptyList<String>(), world.rules.broken)
     }
 
+    /** The state service as it is at size: so many changes a second, so many items in a page of a listing, so many changes kept. */
+    private fun limit(writesPerS: Double, pageItems: Int, keptChanges: Int) {
+        world.writesPerS = writesPerS
+        world.state.pageItems = pageItems
+        world.state.keptChanges = keptChanges
+    }
+
     private fun checkRules() {
         world.rules.checkCancelled()
         world.rules.checkNeglected()
         world.after(500) { checkRules() }
     }
 
+    private fun pollAll(everyMs: Long) {
+        for (jobId in world.rules.told.keys.toList()) {
+            world.after(world.random.nextLong(everyMs)) {
+                world.nodes.filter { it.up }.randomOrNull(world.random)?.ask(jobId, { c, answer -> c.poll(jobId, answer) })
+            }
+        }
+        world.after(everyMs) { pollAll(everyMs) }
+    }
+
     /** As users do: the request is repeated, each time at another node, until it is answered or a minute is over. */
     private fun insist(jobId: String, question: (Controller, (UserAnswer) -> Unit) -> Unit, since: Long = world.now()) {
         if (world.now() - since > 60_000) return
@@ -104,6 +122,15 @@
                 node?.ask(words[1], { c, answer -> c.abort(words[1], answer) })
             }
 
+            // At all nodes, and once more at each, within milliseconds.
+            "abort-everywhere" -> if (words[1] in world.rules.told) {
+                repeat(2) { world.nodes.filter { it.up }.forEach { asked -> asked.ask(words[1], { c, answer -> c.abort(words[1], answer) }) } }
+                insist(words[1], { c, answer -> c.abort(words[1], answer) })
+            }
+
+            // Users ask about every job that was accepted, each at some node, from now on.
+            "poll-all" -> pollAll((words[1].toDouble() * 1000).toLong())
+
             "ask" -> node?.ask(words[1], { c, answer -> c.poll(words[1], answer) })
             // The job is called off, asked about and submitted again at the moment when its last task ends.
             "meet-end" -> world.atEndOf(words[1]) {
@@ -133,6 +160,8 @@
             "mute" -> world.workers[words[1]]?.mute = words[2] == "on"
             // That share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones.
             "late-writes" -> world.lateWrites = words[1].toDouble()
+            // That share of transactions is carried out at once, and only the answer is lost.
+            "lost-answers" -> world.lostAnswers = words[1].toDouble()
             "note-attempts" -> noted[words[1]] = world.attempts(words[1])
             // From now on nothing goes wrong any more.
             "calm" -> world.calmSince = world.now()
