More paths on which a job was lost, refused or started without proof

Nor may a machine stand in two slices' records: a change of the leader's that was not confirmed is read again before the machine may be given elsewhere. - A take whose answer is lost is settled by the watch: for up to 2.5 s an owner of before acted under the new term, and its page might have been written after the new one had read it. taken-although-the-answer-was-lost. - A page that is to be stored lazily waited for ever behind prompt changes, and placements of its jobs with it. CommitQueueTest. - The end of a job that is refused is tried again; an owner that lacks an unfinished job says so and takes it up (owner-without-a-job).

RuleCheckerTest breaks every rule on purpose and sees it found.

--- a/src/main/kotlin/io/reedmast/jobs/JobIndex.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobIndex.kt
@@ -60,11 +60,17 @@
     val unreadable = Unreadable()
     private val live = HashMap<String, LiveJob>()
 
+    /** Unfinished jobs whose records cannot be read, by the versions of these: nobody may be told that they are unknown. */
+    private val unreadableLive = HashMap<String, Long>()
+
     /** Final states never change, so those that do not fit are read again. */
     private val ends = Caffeine.newBuilder().maximumSize(ENDS_KEPT).executor(Runnable::run).build<String, EndRecord>()
 
     fun live(jobId: String): LiveJob? = live[jobId]
 
+    /** Whether the job is there, and nothing else can be said of it. */
+    fun isUnreadable(jobId: String): Boolean = jobId in unreadableLive
+
     fun end(jobId: String): EndRecord? = ends.getIfPresent(jobId)
 
     fun noteEnd(jobId: String, end: EndRecord) = ends.put(jobId, end)
@@ -75,6 +81,7 @@
     fun load(items: List<Item>, revision: Long) {
         val listed = items.mapTo(HashSet()) { it.path.substringAfterLast('/') }
         live.filter { (jobId, job) -> jobId !in listed && job.version <= revision }.keys.toList().forEach { remove(it, Long.MAX_VALUE) }
+        unreadableLive.entries.removeIf { (jobId, version) -> jobId !in listed && version <= revision }
         items.forEach { see(it.path, it.value, it.version) }
     }
 
@@ -90,15 +97,18 @@
             }
         } catch (e: MalformedException) {
             unreadable.note(path, e.message)
+            if (path.startsWith(Keys.LIVE)) unreadableLive[jobId] = version
         }
     }
 
     private fun put(jobId: String, slice: Int?, value: Fields, version: Long) {
         // The watch may tell of the job after our own change has ended it.
-        if (slice == null || slice !in 0 until settings.slices || ends.getIfPresent(jobId) != null) return
+        if (ends.getIfPresent(jobId) != null) return
         val known = live[jobId]
         if (known != null && known.version >= version) return
+        if (slice == null || slice !in 0 until settings.slices) throw MalformedException("the job belongs to no slice")
         put(jobId, LiveJob(SliceIndex(slice), LiveRecord.parse(value), version))
+        unreadableLive.remove(jobId)
     }
 
     private fun put(jobId: String, job: LiveJob) {
@@ -111,6 +121,7 @@
     }
 
     private fun remove(jobId: String, version: Long) {
+        unreadableLive[jobId]?.let { if (it <= version) unreadableLive.remove(jobId) }
         val known = live[jobId] ?: return
         if (known.version > version) return
         live.remove(jobId)
--- a/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
@@ -47,7 +47,7 @@
         val team = settings.teamsByName[spec.teamName]
         val refusal = if (team == null) "unknown team" else refusal(spec, settings.teams[team.value].maxCpus, settings.teams[team.value].maxGpus)
         if (team == null || refusal != null) {
-            answer(UserAnswer(422, error = refusal))
+            refuse(spec.jobId, refusal, answer)
             return
         }
         if (!cluster.ready || machineTypes().isEmpty() || !out.stateAnswers) {
@@ -55,7 +55,7 @@
             return
         }
         if (fitsNowhere(spec)) {
-            answer(UserAnswer(422, error = "a task fits no allowed machine type"))
+            refuse(spec.jobId, "a task fits no allowed machine type", answer)
             return
         }
         val askedAt = clock.now()
@@ -88,6 +88,10 @@
         if (clock.now() - askedAt > LATE_MS) poll(jobId, answer) else answer(UserAnswer(201, JobStatus(jobId, JobState.QUEUED)))
     }
 
+    /** 422, unless the job was accepted before: a process that has just started, or has let go of an ended job, must look first. */
+    private fun refuse(jobId: String, reason: String?, answer: (UserAnswer) -> Unit) =
+        poll(jobId) { known -> answer(if (known.status == UNKNOWN.status) UserAnswer(422, error = reason) else known) }
+
     private fun refusal(spec: JobSpec, maxCpus: Double, maxGpus: Double): String? {
         val times = if (spec.service) spec.taskCount.toDouble() else 1.0
         val above = (maxCpus > 0 && spec.cpus * times > maxCpus + SLACK) || (maxGpus > 0 && spec.gpus * times > maxGpus + SLACK)
@@ -139,6 +143,7 @@
                 !known -> answer(later())
                 end != null -> answer(ended(jobId, end))
                 job != null -> use(job)
+                jobs.isUnreadable(jobId) -> answer(later())
                 else -> readEnd(jobId, answer)
             }
         }
--- a/src/main/kotlin/io/reedmast/jobs/ProgressStore.kt
+++ b/src/main/kotlin/io/reedmast/jobs/ProgressStore.kt
@@ -45,22 +45,33 @@
             while (pages.size <= index) pages.add(ProgressPage(pages.size))
             val page = pages[index]
             page.version = item.version
-            try {
-                for (stored in item.value.maps("chunks").map { ProgressPage.StoredChunk.parse(it) }) {
-                    // A job that is over needs no clearing from its page: the next writing leaves it out.
-                    val job = jobs(stored.jobId) ?: continue
-                    if (stored.first !in 0 until job.spec.taskCount) throw MalformedException("first is out of range")
-                    page.add(job.chunkOf(stored.first))
-                    stored.done.stream().forEach { if (stored.first + it < job.spec.taskCount) job.markDone(stored.first + it) }
-                    stored.on.forEach { if (it.task in 0 until job.spec.taskCount) place(job, it) }
-                    sliceState.changed.add(job)
-                }
-            } catch (e: MalformedException) {
-                log.error("slice {}: stored record {} cannot be read: {}", slice, item.path, e.message)
+            reading(item.path) {
+                for (chunk in item.value.maps("chunks")) reading(item.path) { load(ProgressPage.StoredChunk.parse(chunk), page, jobs, place) }
             }
         }
     }
 
+    private fun load(stored: ProgressPage.StoredChunk, page: ProgressPage, jobs: (String) -> Job?, place: (Job, ProgressPage.Stored) -> Unit) {
+        // A job that is over needs no clearing from its page: the next writing leaves it out.
+        val job = jobs(stored.jobId) ?: return
+        if (stored.first !in 0 until job.spec.taskCount) throw MalformedException("first is out of range")
+        page.add(job.chunkOf(stored.first))
+        stored.done.stream().forEach { if (stored.first + it < job.spec.taskCount) job.markDone(stored.first + it) }
+        stored.on.forEach { if (it.task in 0 until job.spec.taskCount) place(job, it) }
+        sliceState.changed.add(job)
+    }
+
+    /**
+     * Reads one stored piece. Where it cannot be read, tasks may run that nobody knows of. Nothing is placed before their workers
+     * have been told to stop them, or have lost their leases.
+     */
+    private fun reading(path: String, read: () -> Unit) = try {
+        read()
+    } catch (e: MalformedException) {
+        log.error("slice {}: stored record {} cannot be read: {}", slice, path, e.message)
+        sliceState.placeNotBefore = sliceState.clock.now() + (sliceState.settings.workers.leaseS * LEASES_UNTIL_UNKNOWN_WORK_IS_GONE * 1000).toLong()
+    }
+
     /** Stores what differs from what is stored, as far as the limit on changes allows. */
     fun flush(now: Long) {
         for (job in sliceState.changed) {
@@ -199,7 +210,11 @@
                         conflict(outcome.failed, null, emptyList())
                     }
 
-                    is Outcome.Refused -> log.error("{}: the state service refuses the end of the job: {}", jobId, outcome.reason)
+                    is Outcome.Refused -> {
+                        log.error("{}: the state service refuses the end of the job: {}", jobId, outcome.reason)
+                        job.endNotBefore = sliceState.clock.now() + REFUSED_MS
+                        toEnd.add(job)
+                    }
                 }
             },
         )
@@ -207,7 +222,12 @@
 
     fun forget(job: Job) {
         toEnd.remove(job)
-        job.chunks.forEach { chunk -> chunk?.page?.remove(chunk) }
+        for (chunk in job.chunks) {
+            // What a page still holds of a job that is over is ignored: there is nothing left to store.
+            chunk?.page?.remove(chunk)
+            chunk?.page = null
+            chunk?.dirty = false
+        }
     }
 
     private companion object {
@@ -217,5 +237,6 @@
         const val MAX_ENDINGS = 64
         const val REFUSED_MS = 30_000L
         const val REREAD_MS = 500L
+        const val LEASES_UNTIL_UNKNOWN_WORK_IS_GONE = 2.0
     }
 }
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -293,6 +293,7 @@
     fun tick() {
         if (!active || dropped) return
         val now = clock.now()
+        compareWithIndex(now)
         chargeIfDue(now)
         commands.greet(now)
         lifecycle.tick(now)
@@ -302,6 +303,20 @@
         tellPeers(now)
     }
 
+    private var compareDue = 0L
+
+    /** Every unfinished job of the slice must be in the owner's hands: one that is not would wait for ever. */
+    private fun compareWithIndex(now: Long) {
+        if (now < compareDue) return
+        compareDue = now + COMPARE_EVERY_MS
+        for (live in records.jobs.liveOf(index)) {
+            val jobId = live.record.spec.jobId
+            if (jobId in sliceState.jobs || live.record.spec.teamName !in settings.teamsByName) continue
+            log.error("{}: it is unfinished, and the owner of slice {} had no knowledge of it", jobId, slice)
+            jobSeen(live)
+        }
+    }
+
     private var lastCharged = 0L
 
     private fun chargeIfDue(now: Long) {
@@ -332,6 +347,7 @@
     }
 
     private companion object {
+        const val COMPARE_EVERY_MS = 5_000L
         const val CHARGE_EVERY_S = 1.0
         const val MOST_CHARGED_S = 60.0
         const val TELL_EVERY_MS = 1_000L
--- a/src/main/kotlin/io/reedmast/jobs/SliceState.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceState.kt
@@ -49,6 +49,9 @@
     /** Machines of a zone that were given up as silent or never came up, by when. */
     val givenUp = HashMap<String, ArrayDeque<Long>>()
 
+    /** Until then nothing is placed: what runs is not fully known. */
+    var placeNotBefore = 0L
+
     /** Something has changed that may let waiting work start. */
     var placeWanted = false
 
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -50,7 +50,7 @@
     private val contact = WorkerContact(clock, out)
     private val assignment = MachineAssignment(settings, out, slices, machines, { membership.leaderVersion }, ::reread)
     private val takeover =
-        Takeover(settings, clock, out, freshness, membership, slices, machines, jobs, hostDirectory, contact, owners, ::newOwner, ::reread)
+        Takeover(settings, clock, out, freshness, membership, slices, machines, jobs, hostDirectory, contact, owners, ::newOwner) { reread(it) }
     private val peerStatuses = PeerStatuses(settings.self, settings.members.size, incarnation)
     private var statusQueryDue = 0L
 
@@ -145,6 +145,7 @@
     private fun sliceChanged(slice: SliceIndex, before: StoredRecord?, now: StoredRecord) {
         val record = now.record
         if (before?.record?.owner != record.owner) takeover.noteNewOwner(slice)
+        if (takeover.settledByWatch(slice, record, now.version)) return
         val owner = owners[slice.value] ?: return
         if (record.owner == settings.label) {
             owner.sync(record, now.version)
@@ -158,7 +159,10 @@
         owners[slice.value] = null
     }
 
-    private fun reread(path: String) = out.get(path, ::seeFetched)
+    private fun reread(path: String, then: () -> Unit = {}) = out.get(path) {
+        seeFetched(it)
+        then()
+    }
 
     private fun seeFetched(fetched: Fetched) {
         if (fetched is Fetched.Found) see(fetched.item.path, fetched.item.value, fetched.item.version)
--- a/src/main/kotlin/io/reedmast/ownership/MachineAssignment.kt
+++ b/src/main/kotlin/io/reedmast/ownership/MachineAssignment.kt
@@ -25,8 +25,8 @@
     private val slices: SliceTable,
     private val machines: MachineTable,
     private val leaderVersion: () -> Long,
-    /** Reads a key again after a change that was not applied. */
-    private val reread: (String) -> Unit,
+    /** Reads a key again after a change that was not applied, and goes on once that is done. */
+    private val reread: (String, () -> Unit) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("cluster")
 
@@ -93,7 +93,7 @@
                     machines.seePart(to, destination.index, destination.part, outcome.revision)
                     machines.seePart(source.slice, source.index, left, outcome.revision)
                 } else {
-                    listOf(Keys.slice(source.slice.value), Keys.slice(to.value), Keys.TOKEN, fromPath, toPath).forEach(reread)
+                    listOf(Keys.slice(source.slice.value), Keys.slice(to.value), Keys.TOKEN, fromPath, toPath).forEach { reread(it) {} }
                 }
             },
         )
@@ -118,7 +118,7 @@
         val guards = listOf(Guard(Keys.TOKEN, slices.tokenVersion), Guard(Keys.slice(slice.value), owner.version))
         val writes = listOf(Write.Put(Keys.slice(slice.value), renewed.toFields()), Write.Put(Keys.TOKEN, mapOf("token" to renewed.token)))
         rewrite(slice, grown.index, grown.part, lead, sofar, guards, writes) { ok ->
-            if (!ok) reread(Keys.TOKEN)
+            if (!ok) reread(Keys.TOKEN) {}
             done(if (ok) names else emptySet())
         }
     }
@@ -158,11 +158,13 @@
                 if (outcome is Outcome.Applied) {
                     moreWrites.forEach { slices.see(it.path, it.value, outcome.revision) }
                     machines.seePart(slice, index, part, outcome.revision)
+                    done(true)
                 } else {
-                    reread(path)
-                    reread(Keys.slice(slice.value))
+                    // The change may have been applied and replaced since. Whoever asked for it must see that before asking again: a
+                    // machine would be given to a second slice.
+                    reread(Keys.slice(slice.value)) {}
+                    reread(path) { done(false) }
                 }
-                done(outcome is Outcome.Applied)
             },
         )
     }
--- a/src/main/kotlin/io/reedmast/ownership/Takeover.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Takeover.kt
@@ -45,8 +45,11 @@
     private val misdirected = MisdirectedReports(settings.slices, settings.workers.reportS)
     private val startedAt = clock.now()
 
-    /** Two takes at once would both want the next token. */
-    private var claiming = false
+    /** A slice's record that this node is about to store. */
+    private class Claim(val slice: SliceIndex, val record: SliceRecord)
+
+    /** The take that is not settled: two at once would both want the next token. */
+    private var claim: Claim? = null
     private val taking = BooleanArray(settings.slices)
     private val asking = BooleanArray(settings.slices)
     private val notBefore = LongArray(settings.slices)
@@ -173,18 +176,19 @@
     }
 
     private fun take(slice: SliceIndex) {
-        if (taking[slice.value] || claiming) return
+        if (taking[slice.value] || claim != null) return
         taking[slice.value] = true
-        claiming = true
         notBefore[slice.value] = clock.now() + RETAKE_MS
         val held = slices.records[slice.value]
         val fresh = Token.after(slices.token)
         val record = SliceRecord(settings.label, fresh)
+        val mine = Claim(slice, record).also { claim = it }
         val guards = listOf(Guard(Keys.slice(slice.value), held?.version ?: 0L), Guard(Keys.TOKEN, slices.tokenVersion))
         val writes = listOf(Write.Put(Keys.slice(slice.value), record.toFields()), Write.Put(Keys.TOKEN, mapOf("token" to fresh)))
         out.commit(
             Change(guards, writes) { outcome ->
-                claiming = false
+                if (claim !== mine) return@Change
+                claim = null
                 if (outcome is Outcome.Applied) {
                     taken(slice, record, outcome.revision)
                 } else {
@@ -197,6 +201,18 @@
         )
     }
 
+    /**
+     * The watch tells of a record with this node as owner. If it is the one that a take is about to store, the slice is taken: its
+     * answer may be lost for seconds, in which an owner of before would act under the new term.
+     */
+    fun settledByWatch(slice: SliceIndex, record: SliceRecord, version: Long): Boolean {
+        val open = claim ?: return false
+        if (open.slice != slice || open.record != record) return false
+        claim = null
+        taken(slice, record, version)
+        return true
+    }
+
     private fun taken(slice: SliceIndex, record: SliceRecord, revision: Long) {
         owners[slice.value]?.dropped = true
         owners[slice.value] = null
--- a/src/main/kotlin/io/reedmast/placement/Placer.kt
+++ b/src/main/kotlin/io/reedmast/placement/Placer.kt
@@ -31,7 +31,7 @@
         private set
 
     fun passIfDue(now: Long) {
-        if (!sliceState.placeWanted || now < nextPass || !sliceState.fresh()) return
+        if (!sliceState.placeWanted || now < nextPass || now < sliceState.placeNotBefore || !sliceState.fresh()) return
         // Each pass that places something costs puts: tasks of arrays that follow each other on a machine share them.
         if (now < lastPass + ARRAY_PASS_EVERY_MS && sliceState.jobs.values.none { it.waitingCount > 0 && sliceState.startsSoon(it) }) return
         sliceState.placeWanted = false
--- a/src/main/kotlin/io/reedmast/state/CommitQueue.kt
+++ b/src/main/kotlin/io/reedmast/state/CommitQueue.kt
@@ -5,7 +5,7 @@
 import java.util.ArrayDeque
 
 /** Changes that wait for the state service, and which of them share the next transaction. Not thread-safe. */
-class CommitQueue(private val limits: StateLimits, private val budget: WriteBudget, private val maxQueued: Int) {
+class CommitQueue(private val limits: StateLimits, private val budget: WriteBudget, private val maxQueued: Int, private val nowMs: () -> Long) {
     /** What [poll] found. */
     sealed interface Polled {
         /** These changes are paid for from the budget and share one transaction. */
@@ -17,32 +17,40 @@
         data object Empty : Polled
     }
 
-    private val queues = WritePriority.entries.map { ArrayDeque<Change>() }
+    private class Queued(val change: Change, val since: Long)
+
+    private val queues = WritePriority.entries.map { ArrayDeque<Queued>() }
 
     /** False if the queue is full; only changes asked for from outside may be refused. */
     fun offer(change: Change, refusable: Boolean): Boolean {
         val queue = queues[change.writePriority.ordinal]
         if (refusable && queue.size >= maxQueued) return false
-        queue.add(change)
+        queue.add(Queued(change, nowMs()))
         return true
     }
 
     /** Takes what goes out next: prompt changes first, as many as fit one transaction. */
     fun poll(): Polled {
-        val queue = queues.firstOrNull { it.isNotEmpty() } ?: return Polled.Empty
-        val first = queue.peek()
-        val wait = budget.take(first.writes.size, first.writePriority)
+        val overdue = queues.firstOrNull { it.isOverdue() }
+        val queue = overdue ?: queues.firstOrNull { it.isNotEmpty() } ?: return Polled.Empty
+        val priority = if (overdue == null) queue.peek().change.writePriority else WritePriority.PROMPT
+        val wait = budget.take(queue.peek().change.writes.size, priority)
         if (wait > 0L) return Polled.Wait(wait)
-        queue.poll()
-        val batch = Batch(limits).apply { add(first) }
+        val batch = Batch(limits).apply { add(queue.poll().change) }
         while (true) {
-            val next = queue.peek() ?: break
-            if (!batch.accepts(next) || budget.take(next.writes.size, next.writePriority) > 0L) break
-            batch.add(queue.poll())
+            val next = queue.peek()?.change ?: break
+            if (!batch.accepts(next) || budget.take(next.writes.size, priority) > 0L) break
+            batch.add(queue.poll().change)
         }
         return Polled.Batch(batch.changes)
     }
 
+    /**
+     * Under a load that never lets the prompt ones end, what has waited for long is taken before them: a page that is waiting
+     * to be stored lazily takes up no new placements, and their jobs would wait with it.
+     */
+    private fun ArrayDeque<Queued>.isOverdue(): Boolean = peek()?.let { it.change.writePriority == WritePriority.LAZY && nowMs() - it.since > LAZY_MS } ?: false
+
     /** Changes that can share a transaction. */
     private class Batch(private val limits: StateLimits) {
         val changes = ArrayList<Change>()
@@ -76,5 +84,8 @@
     private companion object {
         const val MAX_BYTES = 56 * 1024
         const val GUARD_BYTES = 80
+
+        /** How long a lazy change waits behind prompt ones at the most. */
+        const val LAZY_MS = 4_000L
     }
 }
--- a/src/main/kotlin/io/reedmast/state/Committer.kt
+++ b/src/main/kotlin/io/reedmast/state/Committer.kt
@@ -16,7 +16,7 @@
     private val deliver: (Change, Outcome) -> Unit,
 ) {
     private val lock = Object()
-    private val queue = CommitQueue(limits, client.budget, maxQueued)
+    private val queue = CommitQueue(limits, client.budget, maxQueued) { System.nanoTime() / 1_000_000 }
 
     @Volatile
     private var lastAnswered = true
--- a/src/main/kotlin/io/reedmast/workers/Commands.kt
+++ b/src/main/kotlin/io/reedmast/workers/Commands.kt
@@ -54,9 +54,14 @@
         if (outbox.isEmpty()) return
         val batches = LinkedHashMap(outbox)
         outbox.clear()
-        for ((machine, orders) in batches) {
+        for ((machine, gathered) in batches) {
+            val orders = gathered.filter { it !is Order.Launch || isWanted(machine, it) }
             val addr = machine.addr
-            if (addr == null || !machine.trusted || machine.directCalls >= MAX_DIRECT_CALLS || !sliceState.fresh() || seemsAway(machine)) continue
+            if (orders.isEmpty() || addr == null || !machine.trusted || machine.directCalls >= MAX_DIRECT_CALLS || !sliceState.fresh() ||
+                seemsAway(machine)
+            ) {
+                continue
+            }
             val token = sliceState.tokenFor(machine)
             val session = machine.session
             val launches = orders.filterIsInstance<Order.Launch>()
@@ -73,6 +78,12 @@
         }
     }
 
+    /** Since the launch was decided, a report may have ended its placement, or the job may have been cancelled. */
+    private fun isWanted(machine: Machine, launch: Order.Launch): Boolean {
+        val placement = machine.placements[launch.id] ?: return false
+        return placement.attempt == launch.attempt && placement.stopReason == null
+    }
+
     /**
      * Whether calling the machine would only hold a thread for seconds: it left a command unanswered since its last report,
      * or its report is overdue. A few dozen hung machines would otherwise hold up the commands to all others.
--- a/src/main/kotlin/io/reedmast/workers/Machine.kt
+++ b/src/main/kotlin/io/reedmast/workers/Machine.kt
@@ -1,5 +1,6 @@
 package io.reedmast.workers
 
+import io.reedmast.jobs.Chunk
 import io.reedmast.jobs.Placement
 import io.reedmast.wire.MachineType
 import io.reedmast.wire.Report
@@ -108,6 +109,12 @@
     /** Whether work may be placed here. A machine that may not hear us gets no more of it. */
     val usable: Boolean get() = trusted && retirement == null && !returning && machineType != null && unheeded < UNHEEDED_UNUSABLE
 
+    /** Parts of jobs that have left the machine since they were last stored: a stored page may still name it for them. */
+    private val left = HashSet<Chunk>()
+
+    /** Whether nothing is here, and nobody who takes the slice over would think so. */
+    val isEmptyAsStored: Boolean get() = placements.isEmpty() && left.all { it.stored }
+
     fun add(placement: Placement) {
         placements[placement.id] = placement
         usedCpus += placement.job.spec.cpus
@@ -118,6 +125,8 @@
 
     fun remove(placement: Placement) {
         if (placements.remove(placement.id, placement)) {
+            left.removeIf { it.stored }
+            left.add(placement.job.chunkOf(placement.task))
             usedCpus -= placement.job.spec.cpus
             usedGpus -= placement.job.spec.gpus
             usedMemoryGb -= placement.job.spec.memoryGb
--- a/src/main/kotlin/io/reedmast/workers/MachineLifecycle.kt
+++ b/src/main/kotlin/io/reedmast/workers/MachineLifecycle.kt
@@ -80,7 +80,11 @@
                 Retirement.IDLE -> if (machine.placements.isEmpty()) giveBack(machine) else machine.retirement = null
 
                 Retirement.MOVING -> {
-                    if (machine.placements.isEmpty() && machine.directCalls == 0) empty.add(machine.name) else drainMoving(machine, now)
+                    if (machine.placements.isNotEmpty() || machine.directCalls > 0) {
+                        drainMoving(machine, now)
+                    } else if (machine.isEmptyAsStored) {
+                        empty.add(machine.name)
+                    }
                     if (now - machine.lastHeardAt > silentAfter * 2 && machine.everHeard) machine.retirement = Retirement.SILENT
                 }
             }
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/RecordingGateway.kt
@@ -0,0 +1,52 @@
+package io.reedmast.sim
+
+import io.reedmast.fleet.Rental
+import io.reedmast.peers.PeerMessage
+import io.reedmast.ports.Gateway
+import io.reedmast.ports.LeaseState
+import io.reedmast.ports.Rented
+import io.reedmast.settings.NodeIndex
+import io.reedmast.state.Change
+import io.reedmast.state.Fetched
+import io.reedmast.state.Item
+import io.reedmast.wire.ListedHost
+import io.reedmast.wire.MachineType
+import io.reedmast.wire.Order
+import io.reedmast.wire.Reply
+
+/** Notes what a class asks of the world, and answers nothing: for tests of one class alone. */
+class RecordingGateway : Gateway {
+    val commits = ArrayList<Change>()
+    val directOrders = ArrayList<Order>()
+    override val stateAnswers = true
+
+    override fun commit(change: Change, refusable: Boolean): Boolean = commits.add(change)
+
+    override fun writeFullness(): Double = 1.0
+
+    override fun get(path: String, done: (Fetched) -> Unit) = Unit
+
+    override fun list(prefix: String, done: (List<Item>?) -> Unit) = Unit
+
+    override fun sendToPeers(message: PeerMessage) = Unit
+
+    override fun sendToPeer(peer: NodeIndex, message: PeerMessage) = Unit
+
+    override fun direct(addr: String, token: Long, session: Long, orders: List<Order>, done: (Reply) -> Unit) {
+        directOrders.addAll(orders)
+    }
+
+    override fun rent(rental: Rental, done: (Rented) -> Unit) = Unit
+
+    override fun giveBack(hosts: List<String>, done: (Boolean) -> Unit) = Unit
+
+    override fun listHosts(done: (List<ListedHost>?) -> Unit) = Unit
+
+    override fun machineTypes(done: (List<MachineType>?) -> Unit) = Unit
+
+    override fun extendLease(lease: Long?, lifeMs: Long, done: (LeaseState) -> Unit) = Unit
+
+    override fun shareLimits(aliveNodes: Int, leading: Boolean) = Unit
+
+    override fun expectMachines(count: Int) = Unit
+}
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/RuleCheckerTest.kt
@@ -0,0 +1,145 @@
+package io.reedmast.sim
+
+import io.reedmast.state.Guard
+import io.reedmast.state.Keys
+import io.reedmast.state.Transaction
+import io.reedmast.state.Write
+import io.reedmast.wire.JobState
+import io.reedmast.wire.JobStatus
+import io.reedmast.wire.TaskId
+import io.reedmast.wire.UserAnswer
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Each rule is broken on purpose: a checker that finds nothing must be one that could. */
+class RuleCheckerTest {
+    private val world = Scenario(listOf("team a 8 2", "machine-type m 4 5")).world
+    private val rules = world.rules
+    private val ordinary = world.addWorker("m", "x", spot = false, bootMs = 1_000_000)
+    private val other = world.addWorker("m", "y", spot = false, bootMs = 1_000_000)
+    private val spot = world.addWorker("m", "x", spot = true, bootMs = 1_000_000)
+    private val task = TaskId("wk-1", 0)
+
+    private fun submitted(vararg args: Pair<String, String>) {
+        val spec = World.spec("wk-1", mapOf("team" to "a", "tasks" to "4") + args)
+        world.jobs["wk-1"] = World.SimJob(spec, 1_000, false)
+    }
+
+    private fun stored() {
+        world.state.commit(Transaction("t", listOf(Guard(Keys.live(0, "wk-1"), 0)), listOf(Write.Put(Keys.live(0, "wk-1"), emptyMap()))))
+    }
+
+    private fun answer(state: JobState) = UserAnswer(200, JobStatus("wk-1", state))
+
+    private fun assertFound(rule: String) {
+        assertEquals(1, rules.broken.size, "${rules.broken}")
+        assertTrue(rule in rules.broken.single(), rules.broken.single())
+    }
+
+    @Test
+    fun forgotten() {
+        submitted()
+        rules.answered("wk-1", UserAnswer(404), known = true)
+        assertFound("forgotten wk-1")
+    }
+
+    @Test
+    fun `an answer that nobody has stored`() {
+        submitted()
+        rules.answered("wk-1", answer(JobState.QUEUED), known = false)
+        assertFound("told_unstored wk-1")
+    }
+
+    @Test
+    fun `gone back`() {
+        submitted()
+        stored()
+        rules.answered("wk-1", answer(JobState.ABORTED), known = true)
+        rules.answered("wk-1", answer(JobState.QUEUED), known = true)
+        assertFound("went_back wk-1")
+    }
+
+    @Test
+    fun `not done`() {
+        submitted()
+        stored()
+        rules.answered("wk-1", answer(JobState.DONE), known = true)
+        assertFound("not_done wk-1")
+    }
+
+    @Test
+    fun `ran twice`() {
+        submitted()
+        rules.started(ordinary, task)
+        rules.started(other, task)
+        assertFound("ran_twice wk-1/0")
+    }
+
+    @Test
+    fun `a task that has left may start elsewhere`() {
+        submitted()
+        rules.started(ordinary, task)
+        rules.left(ordinary, task, ran = true)
+        rules.started(other, task)
+        assertEquals(emptyList<String>(), rules.broken)
+    }
+
+    @Test
+    fun quota() {
+        submitted()
+        (0..2).forEach { rules.started(ordinary, TaskId("wk-1", it)) }
+        assertFound("quota of a")
+    }
+
+    @Test
+    fun `wrong kind of machine`() {
+        submitted()
+        rules.started(spot, task)
+        assertFound("wrong_place wk-1/0")
+    }
+
+    @Test
+    fun `in two zones`() {
+        submitted("oneZone" to "true")
+        rules.started(ordinary, task)
+        rules.started(other, TaskId("wk-1", 1))
+        assertFound("wrong_place wk-1/1")
+    }
+
+    @Test
+    fun `ran on after its cancellation`() {
+        submitted()
+        stored()
+        rules.started(ordinary, task)
+        rules.answered("wk-1", answer(JobState.ABORTED), known = true)
+        world.runUntil(world.now() + 40_000)
+        rules.checkCancelled()
+        assertEquals(emptyList<String>(), rules.broken)
+        world.runUntil(world.now() + 2_000)
+        rules.checkCancelled()
+        assertFound("ran_cancelled wk-1/0")
+    }
+
+    @Test
+    fun `launched where no page places it`() {
+        submitted()
+        rules.launched(ordinary, task, attempt = 7)
+        assertFound("launched_unstored wk-1/0")
+    }
+
+    @Test
+    fun `neglected beside room`() {
+        submitted()
+        stored()
+        val idle = world.addWorker("m", "x", spot = false, bootMs = 0)
+        rules.answered("wk-1", answer(JobState.QUEUED), known = true)
+        world.calmSince = world.now()
+        world.runUntil(world.now() + 1_000)
+        assertTrue(idle.alive)
+        rules.checkNeglected()
+        world.runUntil(world.now() + 100_000)
+        rules.checkNeglected()
+        assertFound("neglected wk-1")
+    }
+}
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -92,6 +92,11 @@
         world.after(everyMs) { pollAll(everyMs) }
     }
 
+    private fun plantLostJob(jobId: String) {
+        val lost = world.nodes.mapNotNull { it.controller }.flatMap { it.cluster.owned() }.any { it.sliceState.jobs.remove(jobId) != null }
+        if (!lost) world.after(1) { plantLostJob(jobId) }
+    }
+
     /** As users do: the request is repeated, each time at another node, until it is answered or a minute is over. */
     private fun insist(jobId: String, question: (Controller, (UserAnswer) -> Unit) -> Unit, since: Long = world.now()) {
         if (world.now() - since > 60_000) return
@@ -160,6 +165,13 @@
             "mute" -> world.workers[words[1]]?.mute = words[2] == "on"
             // That share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones.
             "late-writes" -> world.lateWrites = words[1].toDouble()
+            // A planted fault: the owner's books lose the job as soon as it is in them.
+            "plant-lost-job" -> plantLostJob(words[1])
+            "lose-answer" -> world.nodes.first { it.label == words[1] }.loseAnswerOf = words[2]
+            // The first part of a page cannot be read any more.
+            "spoil-chunk" -> world.state.spoilChunk(words[1])
+            // From now on the cloud says that machines of this type have only so many CPUs.
+            "shrink-type" -> world.machineTypes = world.machineTypes.map { if (it.label == words[1]) it.copy(cpus = words[2].toDouble()) else it }
             // That share of transactions is carried out at once, and only the answer is lost.
             "lost-answers" -> world.lostAnswers = words[1].toDouble()
             "note-attempts" -> noted[words[1]] = world.attempts(words[1])
--- a/src/test/kotlin/io/reedmast/sim/SimGateway.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimGateway.kt
@@ -27,7 +27,7 @@
     private val state get() = world.state
     private val slow get() = world.stateSlow
     private val budget = WriteBudget(world.writesPerS, world::now)
-    private val queue = CommitQueue(world.settings.stateLimits, budget, MAX_SUBMISSIONS_QUEUED)
+    private val queue = CommitQueue(world.settings.stateLimits, budget, MAX_SUBMISSIONS_QUEUED, world::now)
     private val ids = TransactionIds(incarnation)
     private val jitter = Random(life * 31 + node.index)
     private var idleCommitters = COMMITTERS
@@ -114,6 +114,13 @@
             }
             return
         }
+        val lost = node.loseAnswerOf
+        if (lost != null && transaction.writes.any { lost in it.path }) {
+            node.loseAnswerOf = null
+            world.after(SEND_MS * slow) { if (reachable) state.commit(transaction) }
+            reply(COMMIT_PATIENCE_MS, done) { CommitReply.Unknown }
+            return
+        }
         val chance = world.random.nextDouble()
         when {
             chance < world.lateWrites -> {
--- a/src/test/kotlin/io/reedmast/sim/SimNode.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimNode.kt
@@ -22,6 +22,9 @@
     /** The next transaction that writes [lateCommitOf] is applied this much later, whatever has become of the node. */
     var lateCommitMs = 0L
     var lateCommitOf = ""
+
+    /** The next transaction that writes a key with this in its name is applied at once, and its answer lost. */
+    var loseAnswerOf: String? = null
     var life = 0
     var controller: Controller? = null
 
--- a/src/test/kotlin/io/reedmast/sim/SimState.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -1,9 +1,11 @@
 package io.reedmast.sim
 
 import io.reedmast.jobs.ProgressPage
+import io.reedmast.ownership.HostPart
 import io.reedmast.state.CommitReply
 import io.reedmast.state.Event
 import io.reedmast.state.Item
+import io.reedmast.state.Keys
 import io.reedmast.state.Transaction
 import io.reedmast.state.Write
 import io.reedmast.wire.Fields
@@ -83,6 +85,15 @@
         log.add(Event(path, mapOf("form" to 0L), revision))
     }
 
+    /** Puts a chunk that cannot be read before the others of a page. */
+    fun spoilChunk(path: String) {
+        val held = entries.getValue(path)
+        val value = held.value + ("chunks" to listOf(mapOf("form" to 0L)) + held.value.maps("chunks"))
+        revision++
+        entries[path] = Entry(value, revision, null)
+        log.add(Event(path, value, revision))
+    }
+
     /** What the service would not take is a mistake of ours, whatever becomes of it. */
     private fun checkLimits(transaction: Transaction) {
         val limits = world.settings.stateLimits
@@ -124,11 +135,28 @@
             .flatMapTo(HashSet()) { chunk -> chunk.on.map { Triple(TaskId(chunk.jobId, it.task), it.attempt, it.host) } }
     }
 
+    /** A machine that comes to a slice must not be named by a page of another one, whose next owner would return it. */
+    private fun checkMoved(path: String, value: Fields) {
+        val slice = path.removePrefix(Keys.HOSTS).substringBefore('/')
+        val hosts = HostPart.parse(value).hosts.mapTo(HashSet()) { it.name }
+        for ((other, entry) in entries.tailMap(Keys.HOSTS).entries.takeWhile { it.key.startsWith(Keys.HOSTS) }) {
+            if (other.startsWith("${Keys.HOSTS}$slice/") || "form" in entry.value) continue
+            HostPart.parse(entry.value).hosts.filter { it.name in hosts }.forEach { world.rules.breach("in_two_slices ${it.name}: $path and $other") }
+        }
+        for ((page, attempts) in placed) {
+            if (page.startsWith("page/$slice/")) continue
+            val of = page.removePrefix("page/").substringBefore('/').toInt()
+            attempts.filter { it.third in hosts && Keys.live(of, it.first.jobId) in entries }
+                .forEach { world.rules.breach("moved_while_placed ${it.third} to slice $slice, ${it.first} of slice $of") }
+        }
+    }
+
     private fun put(write: Write.Put, transactionId: String) {
         // Through the wire and back, as the real service would give it.
         val value = Tree.readCbor(Tree.writeCbor(StateMessages.stored(write.value, transactionId)))
         entries[write.path] = Entry(value, revision, write.lease)
         notePage(write.path, value)
+        if (write.path.startsWith(Keys.HOSTS)) checkMoved(write.path, value)
         log.add(Event(write.path, value, revision))
     }
 
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -30,7 +30,7 @@
 import kotlin.random.Random
 
 /** A deterministic world: simulated time, a state service, a cloud, workers and users, around real controllers. */
-class World(val settingsOf: (Int) -> Settings, nodes: Int, val machineTypes: List<MachineType>, val tuning: Tuning = Tuning()) : Clock {
+class World(val settingsOf: (Int) -> Settings, nodes: Int, var machineTypes: List<MachineType>, val tuning: Tuning = Tuning()) : Clock {
     private class Event(val at: Long, val order: Long, val work: () -> Unit)
 
     private var time = 1_000L
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/state/CommitQueueTest.kt
@@ -0,0 +1,54 @@
+package io.reedmast.state
+
+import io.reedmast.settings.StateLimits
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class CommitQueueTest {
+    private var now = 0L
+    private val limits = StateLimits(100.0, 10.0, 8192, 4)
+    private val queue = CommitQueue(limits, WriteBudget(10.0) { now }, maxQueued = 8) { now }
+
+    private fun change(path: String, writePriority: WritePriority = WritePriority.PROMPT) =
+        Change(listOf(Guard(path, 1), Guard("term", 3)), listOf(Write.Put(path, emptyMap())), writePriority) {}
+
+    private fun paths() = (queue.poll() as CommitQueue.Polled.Batch).changes.map { it.writes.single().path }
+
+    @Test
+    fun `changes of a moment share a transaction, up to the service's limit`() {
+        ('a'..'f').forEach { queue.offer(change("$it"), refusable = true) }
+        assertEquals(listOf("a", "b", "c", "d"), paths())
+        assertEquals(listOf("e", "f"), paths())
+        assertEquals(CommitQueue.Polled.Empty, queue.poll())
+    }
+
+    @Test
+    fun `two changes of one key do not share a transaction`() {
+        queue.offer(change("a"), refusable = true)
+        queue.offer(change("a"), refusable = true)
+        assertEquals(listOf("a"), paths())
+        assertEquals(listOf("a"), paths())
+    }
+
+    @Test
+    fun `only what is asked for from outside is refused`() {
+        repeat(8) { assertTrue(queue.offer(change("a$it"), refusable = true)) }
+        assertFalse(queue.offer(change("b"), refusable = true))
+        assertTrue(queue.offer(change("c"), refusable = false))
+    }
+
+    /** A page that waits here lazily takes up no placements: for as long as others kept coming, its jobs did not start. */
+    @Test
+    fun `a lazy change is not kept waiting for ever by prompt ones`() {
+        queue.offer(change("lazy", WritePriority.LAZY), refusable = false)
+        val sent = ArrayList<String>()
+        repeat(60) {
+            now += 100
+            queue.offer(change("p$it"), refusable = false)
+            (queue.poll() as? CommitQueue.Polled.Batch)?.let { batch -> batch.changes.forEach { sent.add(it.writes.single().path) } }
+        }
+        assertTrue("lazy" in sent, "$sent")
+    }
+}
