A late answer to a change of our own does not bring back a job that is over; the demand of slices in small files

Change: the index knows up to which revision the watch has told of every change. What a read, or a change of the node's own, shows from before that is ignored if the job is not among the unfinished; and an end of the node's own holds until the watch has told of it, where it rested on a cache of limited size.

--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -168,8 +168,8 @@
 
     fun jobsSnapshot(items: List<Item>, revision: Long, askedAt: Long) = eventLoop.post { controller.cluster.jobsSnapshot(items, revision, askedAt) }
 
-    fun jobEvents(events: List<Event>, askedAt: Long) = eventLoop.post {
-        controller.cluster.jobEvents(events, askedAt)
+    fun jobEvents(events: List<Event>, revision: Long, askedAt: Long) = eventLoop.post {
+        controller.cluster.jobEvents(events, revision, askedAt)
         noteWaiting()
     }
 }
--- a/src/main/kotlin/io/reedmast/app/Watches.kt
+++ b/src/main/kotlin/io/reedmast/app/Watches.kt
@@ -59,7 +59,7 @@
                 val watched = client.follow(Keys.JOBS, after, if (node.questionsWait()) 0 else JOBS_HOLD_MS)
                 if (watched is Watched.TooOld) break
                 if (watched is Watched.Events) {
-                    node.jobEvents(watched.events, askedAt)
+                    node.jobEvents(watched.events, watched.revision, askedAt)
                     after = maxOf(after, watched.revision)
                 } else {
                     pause()
--- a/src/main/kotlin/io/reedmast/fleet/Leader.kt
+++ b/src/main/kotlin/io/reedmast/fleet/Leader.kt
@@ -15,26 +15,9 @@
 import io.reedmast.wire.MalformedException
 import io.reedmast.wire.Reply
 import io.reedmast.wire.Report
-import io.reedmast.wire.amount
-import io.reedmast.wire.count
-import io.reedmast.wire.list
-import io.reedmast.wire.maps
-import io.reedmast.wire.optionalTexts
 import io.reedmast.workers.HostRecord
 import org.slf4j.LoggerFactory
 
-/** What an owner last wrote of its slice; [hosts] is the version of the newest change to its machines that it knew. */
-private class Totals(
-    val slice: SliceIndex,
-    val hosts: Long,
-    val ratio: Double,
-    val demand: List<Demand>,
-    val idle: List<String>,
-    val dark: List<String>,
-    val lendable: List<String>,
-    val starving: List<Starving>,
-)
-
 /** The slice that a machine is meant for, and the highest token that its worker has seen. */
 private data class Destination(val slice: SliceIndex, val seen: Long)
 
@@ -110,18 +93,8 @@
         }
     }
 
-    private fun parse(item: Item): Totals? = try {
-        val value = item.value
-        Totals(
-            SliceIndex(item.path.removePrefix(Keys.TOTALS).toInt()),
-            value.count("hosts"),
-            value.amount("ratio"),
-            value.maps("demand").map { Demand.parse(it) },
-            value.list("idle").filterIsInstance<String>(),
-            value.optionalTexts("dark").orEmpty(),
-            value.optionalTexts("lendable").orEmpty(),
-            if (value["starving"] == null) emptyList() else value.maps("starving").map { Starving.parse(it) },
-        )
+    private fun parse(item: Item): SliceTotals? = try {
+        SliceTotals.parse(SliceIndex(item.path.removePrefix(Keys.TOTALS).toInt()), item.value)
     } catch (e: MalformedException) {
         unreadable.note(item.path, e.message)
         null
@@ -131,16 +104,16 @@
     }
 
     /** Slices further below their share come first, for idle machines of other slices and for rented ones. */
-    private fun serve(totals: List<Totals>) {
+    private fun serve(totals: List<SliceTotals>) {
         val now = clock.now()
         moving.values.removeIf { it < now }
-        val current = totals.filter { it.hosts >= (outdated[it.slice] ?: 0L) && it.slice !in renting && it.slice !in moving && !awaits(it.slice) }
+        val current = totals.filter { it.hostsVersion >= (outdated[it.slice] ?: 0L) && it.slice !in renting && it.slice !in moving && !awaits(it.slice) }
         val wanting = current.filter { it.demand.isNotEmpty() }.sortedBy { it.ratio }
         if (now >= resizeDue) {
             resizeDue = now + (tuning.resizeS * 1000).toLong()
             resize(wanting, totals)
         }
-        val dark = totals.flatMapTo(HashSet()) { it.dark }
+        val dark = totals.flatMapTo(HashSet()) { it.darkZones }
         relieve(totals, now)
         rent(wanting.filter { it.slice !in moving }, dark, now)
     }
@@ -151,7 +124,7 @@
      * Slices lend each other only whole machines, and with some work on every one of them a job could wait for ever beside
      * room that would hold it.
      */
-    private fun relieve(totals: List<Totals>, now: Long) {
+    private fun relieve(totals: List<SliceTotals>, now: Long) {
         relieving.values.removeIf { it < now }
         for (needy in totals.filter { it.slice !in relieving }) {
             for (starving in needy.starving) {
@@ -177,7 +150,7 @@
     private fun awaits(slice: SliceIndex) = unassigned.values.any { it.slice == slice }
 
     /** Idle and booting machines of slices that want nothing go to slices that do, until their demand is met. */
-    private fun resize(wanting: List<Totals>, totals: List<Totals>) {
+    private fun resize(wanting: List<SliceTotals>, totals: List<SliceTotals>) {
         val givers = totals.filter { it.demand.isEmpty() && it.idle.isNotEmpty() }
         for (needy in wanting) {
             val left = needy.demand.associateWithTo(LinkedHashMap()) { it.count }
@@ -209,7 +182,7 @@
      * Rents for all slices and all that they want together: the cloud takes few calls, and up to [MOST_AT_ONCE] machines
      * with each.
      */
-    private fun rent(wanting: List<Totals>, dark: Set<String>, now: Long) {
+    private fun rent(wanting: List<SliceTotals>, dark: Set<String>, now: Long) {
         val parts = LinkedHashMap<Offer, ArrayList<Part>>()
         val held = HashMap<String, Int>()
         for (slice in cluster.records.indices) cluster.hostsOf(SliceIndex(slice)).forEach { held.merge(it.zone, 1, Int::plus) }
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/fleet/SliceTotals.kt
@@ -0,0 +1,54 @@
+package io.reedmast.fleet
+
+import io.reedmast.settings.SliceIndex
+import io.reedmast.wire.Fields
+import io.reedmast.wire.amount
+import io.reedmast.wire.count
+import io.reedmast.wire.list
+import io.reedmast.wire.map
+import io.reedmast.wire.maps
+import io.reedmast.wire.optionalTexts
+
+/** What an owner stores of its slice every few seconds: its teams' charged use, and what the leader needs to resize slices. */
+class SliceTotals(
+    val slice: SliceIndex,
+    /** The version of the newest change to the slice's machines that the owner knew. */
+    val hostsVersion: Long,
+    /** Charged use of the slice's teams within the window. */
+    val usage: Fields,
+    /** Charged use against allocation of the waiting team that is furthest below its share. */
+    val ratio: Double,
+    val demand: List<Demand>,
+    /** Machines that may move to another slice at once. */
+    val idle: List<String>,
+    /** Machines that could be emptied for another slice. */
+    val lendable: List<String>,
+    val starving: List<Starving>,
+    /** Zones that seem to be cut off. */
+    val darkZones: List<String>,
+) {
+    fun toFields(): Fields = mapOf(
+        "hosts" to hostsVersion,
+        "usage" to usage,
+        "ratio" to ratio,
+        "demand" to demand.map { it.toFields() },
+        "idle" to idle,
+        "lendable" to lendable,
+        "starving" to starving.map { it.toFields() },
+        "dark" to darkZones,
+    )
+
+    companion object {
+        fun parse(slice: SliceIndex, fields: Fields) = SliceTotals(
+            slice,
+            fields.count("hosts"),
+            fields.map("usage"),
+            fields.amount("ratio"),
+            fields.maps("demand").map { Demand.parse(it) },
+            fields.list("idle").filterIsInstance<String>(),
+            fields.optionalTexts("lendable").orEmpty(),
+            if (fields["starving"] == null) emptyList() else fields.maps("starving").map { Starving.parse(it) },
+            fields.optionalTexts("dark").orEmpty(),
+        )
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/fleet/SpareMachines.kt
@@ -0,0 +1,120 @@
+package io.reedmast.fleet
+
+import io.reedmast.jobs.Placement
+import io.reedmast.jobs.SliceState
+import io.reedmast.workers.Machine
+import io.reedmast.workers.MachineLifecycle
+
+/** Which machines a slice can spare: those to be returned, to be moved to another slice, or to be emptied for it. */
+class SpareMachines(private val sliceState: SliceState, private val arrivals: ArrivalRates) {
+    /** Whether the slice would have too little free room for the services that arrive while a machine boots. */
+    inner class Spare(private var free: Double, private val wanted: Double) {
+        fun needs(machine: Machine) = wanted > 0.0 && !machine.record.spot && free - machine.freeCpus < wanted
+
+        fun without(machine: Machine) {
+            if (!machine.record.spot) free -= machine.freeCpus
+        }
+    }
+
+    fun spareCpus(now: Long) = Spare(sliceState.machines.values.filter { it.usable && !it.record.spot }.sumOf { it.freeCpus }, headroom(now))
+
+    /** CPUs of the services that arrive within a boot. */
+    private fun headroom(now: Long): Double = sliceState.shortestBootS()?.let { arrivals.serviceCpus(now, it) } ?: 0.0
+
+    /** Room that other work leaves free on machines with services, for the services that arrive within a few seconds. */
+    fun reserve(now: Long): Double = arrivals.serviceCpus(now, RESERVE_S)
+
+    private var meanImageGb = 0.0
+
+    /** Takes up the size of the images that the slice's jobs need. */
+    fun noteImages() {
+        meanImageGb = if (sliceState.jobs.isEmpty()) 0.0 else sliceState.jobs.values.sumOf { it.spec.imageGb } / sliceState.jobs.size
+    }
+
+    /**
+     * How long an empty machine is kept.
+     *
+     * What is lost with it is its boot and its images; a boot is partly hidden, since machines are rented as work comes.
+     * Spot machines cost a fraction, and are kept longer by the same measure.
+     */
+    fun patienceMs(machine: Machine): Double {
+        val machineType = machine.machineType ?: return 0.0
+        val ordinary =
+            sliceState.tuning.idleS
+                ?: maxOf(machineType.bootS * BOOT_WORTH + meanImageGb / machineType.fetchGbPerS, sliceState.settings.workers.reportS * KEPT_REPORTS)
+        return ordinary * 1000 * if (machine.record.spot) SPOT_PATIENCE else 1.0
+    }
+
+    /**
+     * Empty for a while and not kept for services, or still booting and not asked for just now: a machine that has just come
+     * covers what was wanted, so that nothing is, and went on to the next slice before it could be used.
+     */
+    fun movable(now: Long): List<String> {
+        val spare = spareCpus(now)
+        return sliceState.machines.values.filter { machine ->
+            machine.placements.isEmpty() && machine.retirement == null && !machine.returning && machine.machineType != null &&
+                (
+                    (!machine.everHeard && now - machine.firstSeenAt > JUST_COME_MS) ||
+                        (machine.trusted && now - machine.emptySince > IDLE_TO_MOVE_MS && !spare.needs(machine))
+                    )
+        }.take(MAX_IDLE).map { it.name }
+    }
+
+    /**
+     * Machines that could be emptied for another slice, those that lose least by it first, some of each kind. Empty ones that
+     * are kept for services to come are among them.
+     *
+     * Services are placed again at once, and what ends within seconds is waited for; other work that cannot resume is lost.
+     */
+    fun lendable(now: Long): List<String> {
+        val usable = sliceState.machines.values.filter {
+            it.usable && it.noticeUntil == 0L && it.placements.values.none { p -> now - p.madeAt < JUST_PLACED_MS }
+        }
+        val free = usable.sumOf { it.freeCpus }
+        return usable
+            // With less room on the others, the work of this one would starve next, and the machine come back.
+            .filter { machine -> machine.placements.values.sumOf { it.job.spec.cpus } <= free - machine.freeCpus + Machine.EPSILON }
+            .sortedBy { machine -> machine.placements.values.sumOf { emptyingCost(it, now) } }
+            .groupBy { Triple(it.record.typeName, it.record.zone, it.record.spot) }.values
+            .flatMap { it.take(LENDABLE_OF_A_KIND) }.take(MAX_LENDABLE).map { it.name }
+    }
+
+    private fun emptyingCost(placement: Placement, now: Long): Double {
+        val spec = placement.job.spec
+        val ranS = if (placement.running) (now - placement.runningSince) / 1000.0 else 0.0
+        return spec.cpus * when {
+            spec.service -> SERVICE_COST_S
+            spec.estimateS - ranS < MachineLifecycle.ENDS_SOON_S -> 0.0
+            spec.resumable -> spec.saveS
+            else -> ranS
+        }
+    }
+
+    /**
+     * Zones most of whose machines fell silent lately: a zone that is cut off. What is rented there cannot be reached either,
+     * and with its machines returned it would look like the zone with the most room.
+     */
+    fun darkZones(now: Long): List<String> = sliceState.givenUp.filter { (zone, times) ->
+        while (times.isNotEmpty() && now - times.first() > DARK_MS) times.removeFirst()
+        times.size >= LEAST_DARK &&
+            times.size > sliceState.machines.values.count { it.record.zone == zone && it.trusted && now - it.lastHeardAt <= sliceState.reportOverdueMs }
+    }.keys.toList()
+
+    private companion object {
+        const val SPOT_PATIENCE = 2.0
+        const val KEPT_REPORTS = 4
+        const val BOOT_WORTH = 0.25
+        const val RESERVE_S = 10.0
+        const val DARK_MS = 45_000L
+        const val LEAST_DARK = 4
+        const val IDLE_TO_MOVE_MS = 2_000L
+        const val JUST_COME_MS = 8_000L
+        const val JUST_PLACED_MS = 15_000L
+        const val MAX_IDLE = 100
+        const val MAX_LENDABLE = 24
+        const val LENDABLE_OF_A_KIND = 3
+
+        /** What stopping a replica and starting it elsewhere is worth, in seconds of its run. */
+        const val SERVICE_COST_S = 5.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/fleet/TotalsWriter.kt
@@ -0,0 +1,118 @@
+package io.reedmast.fleet
+
+import io.reedmast.jobs.SliceState
+import io.reedmast.ports.Gateway
+import io.reedmast.state.Change
+import io.reedmast.state.Fetched
+import io.reedmast.state.Guard
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.state.WritePriority
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.map
+import org.slf4j.LoggerFactory
+
+/** Stores a slice's [SliceTotals]: every few seconds, and sooner when its demand has changed. */
+class TotalsWriter(
+    private val sliceState: SliceState,
+    private val out: Gateway,
+    private val demandEstimator: DemandEstimator,
+    private val spareMachines: SpareMachines,
+    private val hostsVersion: () -> Long,
+    /** The slice may have another owner: its record is to be read again. */
+    private val termInDoubt: () -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("slice")
+    private val slice = sliceState.index
+    private val path = Keys.totals(slice.value)
+    private var version = 0L
+    private var writing = false
+    private var due = 0L
+    private var lastDemand: List<Demand> = emptyList()
+    private var lastWritten = 0L
+    private var logDue = 0L
+
+    /** Takes up what an owner before stored. */
+    fun load(totals: Item) {
+        version = totals.version
+        try {
+            sliceState.usage.load(totals.value.map("usage"))
+        } catch (e: MalformedException) {
+            log.error("slice {}: stored totals cannot be read: {}", slice.value, e.message)
+        }
+    }
+
+    fun tick(now: Long) {
+        if (writing || now - lastWritten < MIN_TOTALS_MS) return
+        spareMachines.noteImages()
+        val demand = demandEstimator.demand()
+        val starving = demandEstimator.starving(now)
+        val wanted = demand.isNotEmpty() || lastDemand.isNotEmpty() || starving.isNotEmpty()
+        if (now < due && !(wanted && demand != lastDemand)) return
+        lastDemand = demand
+        lastWritten = now
+        logState(now, demand)
+        due = now + (sliceState.tuning.totalsS * 1000).toLong()
+        store(totals(demand, starving, now), if (wanted) WritePriority.PROMPT else WritePriority.LAZY)
+    }
+
+    private fun totals(demand: List<Demand>, starving: List<Starving>, now: Long): SliceTotals {
+        val wall = sliceState.clock.wall()
+        val waiting = sliceState.jobs.values.filter { it.waitingCount > 0 }.mapTo(HashSet()) { it.team }
+        return SliceTotals(
+            slice,
+            hostsVersion(),
+            sliceState.usage.toFields(sliceState.teams),
+            ratio = waiting.minOfOrNull { sliceState.ratio(it, wall) } ?: 0.0,
+            demand = demand.take(MAX_KINDS),
+            idle = spareMachines.movable(now),
+            lendable = spareMachines.lendable(now),
+            starving = starving,
+            darkZones = spareMachines.darkZones(now),
+        )
+    }
+
+    private fun store(totals: SliceTotals, writePriority: WritePriority) {
+        writing = true
+        val value = totals.toFields() + ("term" to sliceState.term)
+        val guards = listOf(sliceState.termGuard, Guard(path, version))
+        out.commit(
+            Change(guards, listOf(Write.Put(path, value)), writePriority) { outcome ->
+                writing = false
+                if (sliceState.dropped) return@Change
+                if (outcome is Outcome.Applied) version = outcome.revision
+                if (outcome is Outcome.Conflict) conflict(outcome.failed)
+            },
+        )
+    }
+
+    private fun conflict(failed: Set<String>) {
+        if (Keys.slice(slice.value) in failed) termInDoubt()
+        if (path in failed) out.get(path) { if (it is Fetched.Found) version = it.item.version }
+    }
+
+    private fun logState(now: Long, demand: List<Demand>) {
+        if (now < logDue) return
+        logDue = now + LOG_EVERY_MS
+        val (up, coming) = sliceState.machines.values.partition { it.usable }
+        log.info(
+            "slice {}: {} machines, {} not in use, {} CPUs free of {}, {} jobs with {} tasks waiting, wanted: {}",
+            slice.value,
+            up.size,
+            coming.size,
+            up.sumOf { it.freeCpus }.toInt(),
+            up.sumOf { it.machineType?.cpus ?: 0.0 }.toInt(),
+            sliceState.jobs.size,
+            sliceState.jobs.values.sumOf { it.waitingCount },
+            demand.map { "${it.count} of ${"%.1f".format(it.cpus)} CPUs" },
+        )
+    }
+
+    private companion object {
+        const val LOG_EVERY_MS = 15_000L
+        const val MIN_TOTALS_MS = 1_000L
+        const val MAX_KINDS = 12
+    }
+}
--- a/src/main/kotlin/io/reedmast/jobs/JobIndex.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobIndex.kt
@@ -5,6 +5,7 @@
 import io.reedmast.peers.JobProgress
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
+import io.reedmast.state.Event
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
 import io.reedmast.state.Unreadable
@@ -60,6 +61,12 @@
     val unreadable = Unreadable()
     private val live = HashMap<String, LiveJob>()
 
+    /** The revision up to which the watch has told of every change; 0 before the first reading. */
+    private var toldTo = 0L
+
+    /** Jobs whose end this node knows from its own change, by the change's revision, until the watch has told as much. */
+    private val endedHere = HashMap<String, Long>()
+
     /** Unfinished jobs whose records cannot be read, by the versions of these: nobody may be told that they are unknown. */
     private val unreadableLive = HashMap<String, Long>()
 
@@ -79,14 +86,40 @@
 
     /** Takes up a complete reading; [revision] is what it is at least as new as. */
     fun load(items: List<Item>, revision: Long) {
+        noteTold(revision)
         val listed = items.mapTo(HashSet()) { it.path.substringAfterLast('/') }
         live.filter { (jobId, job) -> jobId !in listed && job.version <= revision }.keys.toList().forEach { remove(it, Long.MAX_VALUE) }
         unreadableLive.entries.removeIf { (jobId, version) -> jobId !in listed && version <= revision }
-        items.forEach { see(it.path, it.value, it.version) }
+        items.forEach { take(it.path, it.value, it.version) }
+    }
+
+    /** Takes up what the watch tells: all changes up to [revision]. */
+    fun follow(events: List<Event>, revision: Long) {
+        events.forEach { take(it.path, it.value, it.version) }
+        noteTold(revision)
+    }
+
+    private fun noteTold(revision: Long) {
+        toldTo = maxOf(toldTo, revision)
+        endedHere.values.removeIf { it <= toldTo }
     }
 
-    /** A record was stored, or (null) deleted, whichever is told first: the watch, or the answer to a change of our own. */
+    /**
+     * Takes up a record that a read, or a change of this node's own, shows to have been stored, or (null) deleted.
+     *
+     * It may be long ago: an answer that was lost is made up for seconds later. If the watch has told of all changes up to then and
+     * the job is not among the unfinished, it is over: taken up again, it was called queued after its user had been told of its end.
+     */
     fun see(path: String, value: Fields?, version: Long) {
+        val jobId = path.substringAfterLast('/')
+        if (path.startsWith(Keys.LIVE)) {
+            if (value == null && version > toldTo) endedHere[jobId] = version
+            if (value != null && version <= toldTo && jobId !in live) return
+        }
+        take(path, value, version)
+    }
+
+    private fun take(path: String, value: Fields?, version: Long) {
         val jobId = path.substringAfterLast('/')
         try {
             when {
@@ -103,7 +136,7 @@
 
     private fun put(jobId: String, slice: Int?, value: Fields, version: Long) {
         // The watch may tell of the job after our own change has ended it.
-        if (ends.getIfPresent(jobId) != null) return
+        if (jobId in endedHere || ends.getIfPresent(jobId) != null) return
         val known = live[jobId]
         if (known != null && known.version >= version) return
         if (slice == null || slice !in 0 until settings.slices) throw MalformedException("the job belongs to no slice")
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -1,6 +1,9 @@
 package io.reedmast.jobs
 
+import io.reedmast.fleet.ArrivalRates
 import io.reedmast.fleet.DemandEstimator
+import io.reedmast.fleet.SpareMachines
+import io.reedmast.fleet.TotalsWriter
 import io.reedmast.ownership.SliceRecord
 import io.reedmast.peers.JobProgress
 import io.reedmast.peers.PeerMessage
@@ -71,11 +74,15 @@
     val sliceState = SliceState(index, settings, tuning, clock, machineTypes, fresh)
     private val commands = Commands(sliceState, out) { machine, report -> reports.answered(machine, report) }
     private val reports: Reports = Reports(sliceState, commands) { records.renewToken(index) }
-    private val demandEstimator = DemandEstimator(sliceState, out, { records.machinesVersion(index) }, { records.refresh(index) })
-    val placer = Placer(sliceState, commands, demandEstimator)
+    private val arrivals = ArrivalRates(sliceState)
+    private val demandEstimator = DemandEstimator(sliceState, arrivals)
+    private val spareMachines = SpareMachines(sliceState, arrivals)
+    private val totalsWriter =
+        TotalsWriter(sliceState, out, demandEstimator, spareMachines, { records.machinesVersion(index) }, { records.refresh(index) })
+    val placer = Placer(sliceState, commands, demandEstimator, spareMachines)
     private val progressStore = ProgressStore(sliceState, out, Storing())
     private val lifecycle =
-        MachineLifecycle(sliceState, out, commands, demandEstimator, {
+        MachineLifecycle(sliceState, out, commands, spareMachines, {
             records.removeHosts(index, it)
         }, { records.handOver(index, it) }, { records.requestTakeover(index) })
     private var tellDue = 0L
@@ -100,7 +107,7 @@
     /** Reads what is stored of the slice: [pages] were listed, and [live] is at least as new, after our token was stored. */
     fun load(live: List<LiveJob>, pages: List<Item>, totals: Item?) {
         syncHosts()
-        totals?.let { demandEstimator.load(it) }
+        totals?.let { totalsWriter.load(it) }
         live.forEach { addJob(it) }
         progressStore.load(pages, { sliceState.jobs[it] }) { job, stored ->
             val placement = Placement(job, stored.task, stored.attempt, machineFor(stored.host), clock.now())
@@ -299,7 +306,7 @@
         lifecycle.tick(now)
         // Waiting may itself let work start: after a failure's pause, or once it has waited long enough to preempt.
         if (sliceState.jobs.values.any { it.waitingCount > 0 }) sliceState.placeWanted = true
-        demandEstimator.writeTotals(now)
+        totalsWriter.tick(now)
         tellPeers(now)
     }
 
--- a/src/main/kotlin/io/reedmast/jobs/SliceState.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceState.kt
@@ -71,6 +71,9 @@
 
     fun machineTypeOf(typeName: String): MachineType? = machineTypes.firstOrNull { it.label == typeName }
 
+    /** How soon the machine type that is up first of those in the slice is up, in seconds; null without machines. */
+    fun shortestBootS(): Double? = machines.values.mapNotNull { it.machineType?.bootS }.minOrNull()
+
     fun usedCpus(team: TeamIndex): Double = usedCpus[team.value]
 
     fun place(placement: Placement) {
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -126,8 +126,9 @@
         freshness.jobsHeard(askedAt)
     }
 
-    fun jobEvents(events: List<Event>, askedAt: Long) {
-        events.forEach { jobs.see(it.path, it.value, it.version) }
+    /** What the watch on jobs tells: all changes up to [revision]. */
+    fun jobEvents(events: List<Event>, revision: Long, askedAt: Long) {
+        jobs.follow(events, revision)
         freshness.jobsHeard(askedAt)
     }
 
--- a/src/main/kotlin/io/reedmast/placement/Placer.kt
+++ b/src/main/kotlin/io/reedmast/placement/Placer.kt
@@ -5,6 +5,7 @@
 import io.reedmast.fairshare.funded
 import io.reedmast.fairshare.mayYield
 import io.reedmast.fleet.DemandEstimator
+import io.reedmast.fleet.SpareMachines
 import io.reedmast.fleet.isDear
 import io.reedmast.jobs.Job
 import io.reedmast.jobs.Placement
@@ -18,7 +19,12 @@
 import org.slf4j.LoggerFactory
 
 /** Queue order, placement and preemption: a pass over all that waits, at a bounded rate. */
-class Placer(private val sliceState: SliceState, private val commands: Commands, private val demandEstimator: DemandEstimator) {
+class Placer(
+    private val sliceState: SliceState,
+    private val commands: Commands,
+    private val demandEstimator: DemandEstimator,
+    private val spareMachines: SpareMachines,
+) {
     private val log = LoggerFactory.getLogger("slice")
     private var attempts = 0L
     private var nextPass = 0L
@@ -59,7 +65,7 @@
         val machines = candidates(now)
         val homes = machines.filter { it.isServiceHome }
         val most = homes.sumOf { it.machineType?.cpus ?: 0.0 } * MOST_RESERVED
-        val room = HeldRoom(homes.sumOf { it.freeCpus }, minOf(demandEstimator.reserve(now), most))
+        val room = HeldRoom(homes.sumOf { it.freeCpus }, minOf(spareMachines.reserve(now), most))
         val wall = sliceState.clock.wall()
         val full = HashSet<Shape>()
         val placed = HashMap<Job, Int>()
--- a/src/main/kotlin/io/reedmast/workers/MachineLifecycle.kt
+++ b/src/main/kotlin/io/reedmast/workers/MachineLifecycle.kt
@@ -1,6 +1,6 @@
 package io.reedmast.workers
 
-import io.reedmast.fleet.DemandEstimator
+import io.reedmast.fleet.SpareMachines
 import io.reedmast.jobs.SliceState
 import io.reedmast.jobs.StopReason
 import io.reedmast.ports.Gateway
@@ -11,7 +11,7 @@
     private val sliceState: SliceState,
     private val out: Gateway,
     private val commands: Commands,
-    private val demandEstimator: DemandEstimator,
+    private val spareMachines: SpareMachines,
     private val removeHosts: (Set<String>) -> Unit,
     private val handOver: (Collection<String>) -> Unit,
     private val requestTakeover: () -> Unit,
@@ -54,7 +54,7 @@
         noticeLossOfWorkers(now)
         retireSilent(now, silentAfter)
         retireDeaf()
-        val spare = demandEstimator.spareCpus(now)
+        val spare = spareMachines.spareCpus(now)
         val empty = ArrayList<String>()
         for (machine in sliceState.machines.values.toList()) {
             val machineType = machine.machineType
@@ -165,16 +165,16 @@
         }
     }
 
-    private fun idle(machine: Machine, now: Long, spare: DemandEstimator.Spare): Boolean {
+    private fun idle(machine: Machine, now: Long, spare: SpareMachines.Spare): Boolean {
         if (machine.placements.isNotEmpty() || !machine.trusted) return false
         // A machine that has just booted has been empty for all of its boot: it was returned before anything could be placed.
         if (now - machine.trustedAt < JUST_UP_MS) return false
-        val patience = demandEstimator.patienceMs(machine)
+        val patience = spareMachines.patienceMs(machine)
         // While this node heard nothing from the state service, nothing could be placed there.
         return now - maxOf(machine.emptySince, deafUntil) > patience && now - sliceState.activeAt > patience && !spare.needs(machine)
     }
 
-    private fun retireIdle(machine: Machine, spare: DemandEstimator.Spare) {
+    private fun retireIdle(machine: Machine, spare: SpareMachines.Spare) {
         log.info("{}: empty for {} s; it is returned", machine.name, (sliceState.clock.now() - machine.emptySince) / 1000)
         spare.without(machine)
         machine.retirement = Retirement.IDLE
--- a/src/test/kotlin/io/reedmast/sim/SimNode.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimNode.kt
@@ -121,7 +121,7 @@
         }
         jobsDue = world.now() + jobsLagMs
         jobsWatchedTo = state.revision
-        c.cluster.jobEvents(jobNews.filter { it.path.startsWith(Keys.JOBS) }, world.now())
+        c.cluster.jobEvents(jobNews.filter { it.path.startsWith(Keys.JOBS) }, state.revision, world.now())
     }
 
     /** Reads the keys with [prefix] page by page, each at its own moment; null if the state service is lost meanwhile. */
