A node that reads everything anew knows a leader who has not changed; no watch or committing thread is lost for good

An own claim that is settled late counts only if the watch has not told of it. - Changes of more than 8 MiB since the last answer of a watch were cut off and asked for again, for ever more of them. They are now taken for a gap.

--- a/src/main/kotlin/io/reedmast/app/NetworkGateway.kt
+++ b/src/main/kotlin/io/reedmast/app/NetworkGateway.kt
@@ -215,8 +215,22 @@
         private const val SAFETY = 0.95
         private const val SCARCE_AT = 0.6
         private const val STALE_DIRECT_MS = 5_000L
+        private const val RESTART_PAUSE_MS = 500L
         private const val STALE_RETURN_MS = 15_000L
 
-        fun startThread(name: String, body: () -> Unit): Thread = Thread(body, name).apply { isDaemon = true }.also { it.start() }
+        /** Starts a thread for [body]; one that fails is begun again, since a controller without it would be up and do nothing. */
+        fun startThread(name: String, body: () -> Unit): Thread = Thread({ keepDoing(name, body) }, name).apply { isDaemon = true }.also { it.start() }
+
+        private fun keepDoing(name: String, body: () -> Unit) {
+            while (true) {
+                try {
+                    body()
+                    return
+                } catch (e: RuntimeException) {
+                    LoggerFactory.getLogger("main").error("thread {} failed and begins again", name, e)
+                    Thread.sleep(RESTART_PAUSE_MS)
+                }
+            }
+        }
     }
 }
--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -162,9 +162,11 @@
         eventLoop.offer(urgency) { controller.peerSent(message) }
     }
 
-    fun snapshot(items: List<Item>, askedAt: Long) = eventLoop.post { controller.cluster.snapshot(items, askedAt) }
+    fun snapshot(items: List<Item>, revision: Long, askedAt: Long) = eventLoop.post { controller.cluster.snapshot(items, revision, askedAt) }
 
-    fun clusterEvents(events: List<Event>, askedAt: Long) = eventLoop.post { controller.cluster.clusterEvents(events, askedAt) }
+    fun clusterEvents(events: List<Event>, revision: Long, askedAt: Long) = eventLoop.post {
+        controller.cluster.clusterEvents(events, revision, askedAt)
+    }
 
     fun jobsSnapshot(items: List<Item>, revision: Long, askedAt: Long) = eventLoop.post { controller.cluster.jobsSnapshot(items, revision, askedAt) }
 
--- a/src/main/kotlin/io/reedmast/app/Watches.kt
+++ b/src/main/kotlin/io/reedmast/app/Watches.kt
@@ -21,14 +21,14 @@
                 pause()
                 continue
             }
-            node.snapshot(items, askedAt)
+            node.snapshot(items, revision, askedAt)
             var after = revision
             while (true) {
                 askedAt = clock.now()
                 val watched = client.follow(Keys.CLUSTER, after, HOLD_MS)
                 if (watched is Watched.TooOld) break
                 if (watched is Watched.Events) {
-                    node.clusterEvents(watched.events, askedAt)
+                    node.clusterEvents(watched.events, watched.revision, askedAt)
                     after = maxOf(after, watched.revision)
                 } else {
                     pause()
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -102,9 +102,9 @@
 
     // ---- what the watches tell --------------------------------------------------------------------------------------
 
-    /** All keys of the cluster, read at the start and after a gap in their watch. */
-    fun snapshot(items: List<Item>, askedAt: Long) {
-        membership.reset()
+    /** All keys of the cluster, read at the start and after a gap in their watch; at least as new as [revision]. */
+    fun snapshot(items: List<Item>, revision: Long, askedAt: Long) {
+        membership.reset(revision)
         items.forEach { see(it.path, it.value, it.version) }
         membership.noteAbsent(items.mapTo(HashSet()) { it.path })
         if (!freshness.clusterLoaded) {
@@ -114,8 +114,10 @@
         membership.shareLimits()
     }
 
-    fun clusterEvents(events: List<Event>, askedAt: Long) {
+    /** What the watch on the cluster's keys tells: all changes up to [revision]. */
+    fun clusterEvents(events: List<Event>, revision: Long, askedAt: Long) {
         events.forEach { see(it.path, it.value, it.version) }
+        membership.noteTold(revision)
         freshness.clusterHeard(askedAt)
     }
 
--- a/src/main/kotlin/io/reedmast/ownership/Membership.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Membership.kt
@@ -51,10 +51,25 @@
     /** For how long the controller's key has been gone. */
     fun absentForMs(label: String, now: Long): Long = now - (absentSince[label] ?: now)
 
-    /** All keys are about to be read anew. */
-    fun reset() {
+    /** The revision up to which the watch has told of every change. */
+    private var toldTo = 0L
+
+    /**
+     * All keys have been read anew, and follow; they are at least as new as [revision].
+     *
+     * The version of the leader's key is forgotten with its value: a leader who had not changed in the gap was otherwise not seen
+     * again, and nobody led by this node's account for as long as he stayed.
+     */
+    fun reset(revision: Long) {
         present.clear()
         leader = null
+        leaderVersion = 0L
+        noteTold(revision)
+    }
+
+    /** The watch has told of all changes up to [revision]. */
+    fun noteTold(revision: Long) {
+        toldTo = maxOf(toldTo, revision)
     }
 
     /** All keys have been read: those of controllers that are not among [paths] are gone. */
@@ -158,8 +173,8 @@
         out.commit(
             Change(listOf(Guard(Keys.LEADER, 0)), listOf(Write.Put(Keys.LEADER, mapOf("label" to settings.label), held))) { outcome ->
                 claimingLeader = false
-                // The watch tells the same: whichever is first counts.
-                if (outcome is Outcome.Applied) seeLeader(settings.label, outcome.revision)
+                // The watch tells the same: whichever is first counts. What it has told of may be over by now.
+                if (outcome is Outcome.Applied && outcome.revision > toldTo) seeLeader(settings.label, outcome.revision)
                 if (outcome is Outcome.Refused && lease == held) lease = null
             },
         )
--- a/src/main/kotlin/io/reedmast/state/Committer.kt
+++ b/src/main/kotlin/io/reedmast/state/Committer.kt
@@ -1,6 +1,7 @@
 package io.reedmast.state
 
 import io.reedmast.settings.StateLimits
+import org.slf4j.LoggerFactory
 import java.util.concurrent.ThreadLocalRandom
 
 /**
@@ -15,6 +16,7 @@
     private val ids: TransactionIds,
     private val deliver: (Change, Outcome) -> Unit,
 ) {
+    private val log = LoggerFactory.getLogger("state")
     private val lock = Object()
     private val queue = CommitQueue(limits, client.budget, maxQueued) { System.nanoTime() / 1_000_000 }
 
@@ -70,7 +72,13 @@
     }
 
     private fun send(transaction: Transaction): CommitReply {
-        val reply = client.commit(transaction)
+        val reply = try {
+            client.commit(transaction)
+        } catch (e: RuntimeException) {
+            // What became of it is not known; with the thread gone, its changes would never be settled.
+            log.error("a transaction failed on this side", e)
+            CommitReply.Unknown
+        }
         lastAnswered = reply !is CommitReply.NotExecuted && reply !is CommitReply.Unknown
         // Sent again hot, it would only keep the limit exceeded.
         if (reply is CommitReply.Limited) client.budget.empty()
--- a/src/main/kotlin/io/reedmast/state/StateClient.kt
+++ b/src/main/kotlin/io/reedmast/state/StateClient.kt
@@ -90,7 +90,7 @@
         val body = StateMessages.transaction(conditions, transaction.writes.map { encoded(it, transaction.id) })
         return when (val reply = ask("POST", "/commit", body)) {
             is Reply.NotSent -> CommitReply.NotExecuted
-            is Reply.Unanswered -> CommitReply.Unknown
+            is Reply.Unanswered, Reply.TooLarge -> CommitReply.Unknown
             is Reply.Answer ->
                 reading<CommitReply>(CommitReply.Unknown) {
                     when (reply.status) {
@@ -123,6 +123,8 @@
 
     fun follow(prefix: String, after: Long, holdMs: Int): Watched {
         val reply = ask("GET", "/follow?prefix=${encode(prefix)}&after=$after&holdMs=$holdMs", patienceMs = holdMs + FOLLOW_GRACE_MS)
+        // Asked again, it would only have grown: reading all keys takes their present values alone, page by page.
+        if (reply is Reply.TooLarge) return Watched.TooOld
         if (reply !is Reply.Answer) return Watched.Failed
         return reading<Watched>(Watched.Failed) {
             when (reply.status) {
--- a/src/main/kotlin/io/reedmast/wire/Caller.kt
+++ b/src/main/kotlin/io/reedmast/wire/Caller.kt
@@ -12,6 +12,9 @@
     /** No connection was made, so the request cannot have been executed and never will be. */
     data class NotSent(val reason: String) : Reply
 
+    /** There is an answer, larger than this side reads. */
+    data object TooLarge : Reply
+
     /** The request may have been executed, or may yet be. */
     data class Unanswered(val reason: String) : Reply
 }
@@ -51,6 +54,10 @@
             val status = connection.responseCode
             val stream: InputStream? = if (status >= 400) connection.errorStream else connection.inputStream
             val answer = stream?.use { it.readNBytes(MAX_ANSWER) } ?: NOTHING
+            if (answer.size == MAX_ANSWER) {
+                connection.disconnect()
+                return Reply.TooLarge
+            }
             return Reply.Answer(status, if (answer.isEmpty()) emptyMap() else Tree.readCbor(answer))
         } catch (e: IOException) {
             connection.disconnect()
--- a/src/test/kotlin/io/reedmast/LargeFaultTest.kt
+++ b/src/test/kotlin/io/reedmast/LargeFaultTest.kt
@@ -53,6 +53,7 @@
                 2.0 to "poll-all 5",
                 LAST to "calm",
                 LAST + 60 to "expect answered",
+                LAST + 60 to "expect leader",
                 LAST + 200 to "expect settled",
                 LAST + 201 to "expect answered",
             )
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -268,7 +268,11 @@
             // How often a slice was taken, since the first start.
             "takings" -> assertEquals(words[1].toLong(), Token.takings(world.state.get("c/token")?.value?.get("token") as Long), at)
 
-            "leader" -> assertEquals(1, world.nodes.count { it.controller?.cluster?.leading == true }, at)
+            // One node leads, and all agree which.
+            "leader" -> {
+                assertEquals(1, world.nodes.count { it.controller?.cluster?.leading == true }, at)
+                assertEquals(1, world.nodes.filter { it.up }.map { it.controller?.cluster?.leader }.distinct().size, at)
+            }
             else -> error("unknown expectation ${words[0]}")
         }
     }
--- a/src/test/kotlin/io/reedmast/sim/SimNode.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimNode.kt
@@ -96,7 +96,7 @@
                     loaded = true
                     watchedTo = clusterRevision
                     jobsWatchedTo = jobsRevision
-                    c.cluster.snapshot(cluster, askedAt)
+                    c.cluster.snapshot(cluster, clusterRevision, askedAt)
                     c.cluster.jobsSnapshot(jobs, jobsRevision, jobsAskedAt)
                 }
                 done()
@@ -112,7 +112,7 @@
             return
         }
         watchedTo = state.revision
-        c.cluster.clusterEvents(news.filter { it.path.startsWith(Keys.CLUSTER) }, world.now())
+        c.cluster.clusterEvents(news.filter { it.path.startsWith(Keys.CLUSTER) }, watchedTo, world.now())
         if (world.now() < jobsDue) return
         val jobNews = state.since(jobsWatchedTo)
         if (jobNews == null) {
--- a/src/test/kotlin/io/reedmast/state/StateServiceStub.kt
+++ b/src/test/kotlin/io/reedmast/state/StateServiceStub.kt
@@ -97,8 +97,13 @@
 
     private fun maps(list: Any?) = (list as List<*>).map { it as Map<*, *> }
 
+    /** What a watch is answered. */
+    @Volatile
+    var changes: List<Fields> = emptyList()
+
     @Synchronized
     private fun read(path: String, query: String?): Pair<Int, Fields> {
+        if (path == "/follow") return 200 to mapOf("epoch" to revision, "log" to changes)
         if (query != null) return 400 to emptyMap()
         val key = path.removePrefix("/kv/")
         val entry = entries[key] ?: return 404 to mapOf("epoch" to revision)
