--- /dev/null
+++ b/src/main/kotlin/io/reedmast/fleet/MachineIntake.kt
@@ -0,0 +1,141 @@
+package io.reedmast.fleet
+
+import io.reedmast.ownership.Cluster
+import io.reedmast.ports.Clock
+import io.reedmast.ports.Gateway
+import io.reedmast.settings.Settings
+import io.reedmast.settings.SliceIndex
+import io.reedmast.wire.ListedHost
+import io.reedmast.wire.MachineType
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Reply
+import io.reedmast.wire.Report
+import io.reedmast.workers.HostRecord
+import org.slf4j.LoggerFactory
+
+/** Gives machines that belong to no slice to one, whether they were rented or nobody expected them, and returns those that only cost. */
+class MachineIntake(
+    private val settings: Settings,
+    private val clock: Clock,
+    private val out: Gateway,
+    private val cluster: Cluster,
+    private val machineTypes: () -> Map<String, MachineType>,
+) {
+    /** The slice that a machine is meant for, and the highest token that its worker has seen. */
+    private data class Destination(val slice: SliceIndex, val seen: Long)
+
+    private val log = LoggerFactory.getLogger("fleet")
+
+    /** Stamps of the last change made here to slices' machines: older totals do not know of it yet. */
+    private val outdated = HashMap<SliceIndex, Long>()
+
+    /** Not yet given to a slice. */
+    private val unassigned = LinkedHashMap<HostRecord, Destination>()
+    private val strangers = HashMap<String, Long>()
+    private val returning = HashSet<String>()
+    private val assigning = HashSet<SliceIndex>()
+    private val calling = HashSet<String>()
+
+    /** Another node has led before: what it knew of machines of no slice is not known here. */
+    fun startLeading() = strangers.clear()
+
+    /** Whether machines wait to be given to the slice. */
+    fun awaits(slice: SliceIndex): Boolean = unassigned.values.any { it.slice == slice }
+
+    /** Whether the totals were written in knowledge of all machines that were given to their slice from here. */
+    fun isCurrent(totals: SliceTotals): Boolean = totals.hostsVersion >= (outdated[totals.slice] ?: 0L)
+
+    /** A machine is to be given to [slice]; [seenToken] is the highest token that its worker has seen. */
+    fun add(host: HostRecord, slice: SliceIndex, seenToken: Long) {
+        unassigned[host] = Destination(slice, seenToken)
+    }
+
+    /** Gives machines that wait for it to their slices. */
+    fun assign() {
+        if (unassigned.isEmpty()) return
+        unassigned.keys.removeIf { cluster.sliceOfHost(it.name) != null }
+        for ((slice, hosts) in unassigned.entries.groupBy { it.value.slice }) {
+            val records = hosts.map { it.key }
+            if (!assigning.add(slice)) continue
+            cluster.addHosts(slice, records, hosts.maxOf { it.value.seen }) { added ->
+                assigning.remove(slice)
+                if (added.isNotEmpty()) {
+                    outdated[slice] = cluster.machinesVersion(slice)
+                    unassigned.keys.removeIf { it.name in added }
+                }
+            }
+        }
+    }
+
+    /**
+     * A worker nobody has given to a slice reports: once it has answered a call, it is used.
+     *
+     * The report alone proves nothing: it may be a late copy from a machine that was returned, and such a machine must not
+     * come back into a slice; and a machine that hears nothing is of no use.
+     */
+    fun stranger(report: Report) {
+        if (!cluster.leading || !cluster.fresh() || report.host in returning || cluster.departedLately(report.host)) return
+        // At a first start the slices appear one by one; waiting for all of them spreads the machines evenly.
+        if (cluster.records.any { it == null }) return
+        if (unassigned.keys.any { it.name == report.host } || calling.size >= MOST_CALLED || !calling.add(report.host)) return
+        // Neither token nor session are the worker's: nothing is executed, and the refusal is its newest report.
+        out.direct(report.addr, 0L, 0L, emptyList()) { reply ->
+            calling.remove(report.host)
+            val answer = (reply as? Reply.Answer)?.takeIf { it.status == 200 || it.status == 409 } ?: return@direct
+            try {
+                val now = Report.parse(answer.body)
+                if (now.host == report.host && cluster.leading) accept(now)
+            } catch (e: MalformedException) {
+                log.error("the answer of {} cannot be read: {}", report.host, e.message)
+            }
+        }
+    }
+
+    private fun accept(report: Report) {
+        if (cluster.sliceOfHost(report.host) != null || report.host in returning || cluster.departedLately(report.host)) return
+        val host = HostRecord(report.host, report.typeName, report.zone, report.spot)
+        val slice = emptiest()
+        log.info("{}: a worker of no slice reports; it goes to slice {}", report.host, slice.value)
+        add(host, slice, report.token)
+        assign()
+    }
+
+    /** The slice with the fewest CPUs, so that machines found at the start are spread evenly. */
+    private fun emptiest(): SliceIndex {
+        val cpus = DoubleArray(cluster.records.size)
+        for (slice in cpus.indices) cpus[slice] = cluster.hostsOf(SliceIndex(slice)).sumOf { machineTypes()[it.typeName]?.cpus ?: 1.0 }
+        for ((host, to) in unassigned) cpus[to.slice.value] += machineTypes()[host.typeName]?.cpus ?: 1.0
+        return SliceIndex(cpus.indices.minByOrNull { cpus[it] } ?: 0)
+    }
+
+    /** Machines that nobody expected use themselves by reporting; those that only cost are returned. */
+    fun seeList(hosts: List<ListedHost>) {
+        val now = clock.now()
+        val listed = hosts.mapTo(HashSet()) { it.name }
+        strangers.keys.retainAll(listed)
+        val expected = unassigned.keys.mapTo(HashSet()) { it.name }
+        val lost = ArrayList<String>()
+        for (host in hosts) {
+            if (cluster.sliceOfHost(host.name) != null || cluster.departedLately(host.name) || host.name in expected) {
+                strangers.remove(host.name)
+                continue
+            }
+            val since = strangers.getOrPut(host.name) { now }
+            val patience = ((machineTypes()[host.typeName]?.bootS ?: 60.0) * 2 + settings.cloudLimits.listLagS * 2) * 1000
+            if ((host.stage == "failed" || now - since > patience) && host.name !in returning) lost.add(host.name)
+        }
+        if (lost.isEmpty()) return
+        val names = lost.take(MOST_RETURNED)
+        log.info("returned, since they belong to no slice and do not report: {}", names)
+        returning.addAll(names)
+        out.giveBack(names) { ok ->
+            returning.removeAll(names.toSet())
+            if (ok) names.forEach { strangers.remove(it) }
+        }
+    }
+
+    private companion object {
+        const val MOST_CALLED = 64
+        const val MOST_RETURNED = 100
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/fleet/SliceResizer.kt
@@ -0,0 +1,88 @@
+package io.reedmast.fleet
+
+import io.reedmast.ownership.Cluster
+import io.reedmast.ports.Clock
+import io.reedmast.settings.SliceIndex
+import io.reedmast.wire.MachineType
+import org.slf4j.LoggerFactory
+
+/** Which machines move between slices: idle ones to where they are wanted, and now and then one that is emptied for a starving job. */
+class SliceResizer(private val clock: Clock, private val cluster: Cluster, private val machineTypes: () -> Map<String, MachineType>) {
+    private val log = LoggerFactory.getLogger("fleet")
+
+    /** Slices that machines are on their way to, and until when that keeps the leader from renting for them. */
+    private val moving = HashMap<SliceIndex, Long>()
+
+    /** Slices that a machine is being emptied for, and until when that is waited for. */
+    private val relieving = HashMap<SliceIndex, Long>()
+
+    /** Whether machines are on their way to [slice], whose room it does not know yet. */
+    fun isMovingTo(slice: SliceIndex): Boolean = slice in moving
+
+    fun tick(now: Long) {
+        moving.values.removeIf { it < now }
+        relieving.values.removeIf { it < now }
+    }
+
+    /** Idle and booting machines of slices that want nothing go to slices that do, until their demand is met. */
+    fun resize(wanting: List<SliceTotals>, totals: List<SliceTotals>) {
+        val givers = totals.filter { it.demand.isEmpty() && it.idle.isNotEmpty() }
+        for (needy in wanting) {
+            val left = needy.demand.associateWithTo(LinkedHashMap()) { it.count }
+            for (giver in givers) {
+                val idle = giver.idle.toHashSet()
+                val given = ArrayList<String>()
+                for (host in cluster.hostsOf(giver.slice)) {
+                    if (host.name !in idle || cluster.isLeaving(giver.slice, host.name)) continue
+                    val machineType = machineTypes()[host.typeName] ?: continue
+                    val demand =
+                        left.entries.firstOrNull { it.value > 0 && it.key.runsOn(host.typeName, host.zone, host.spot) && it.key.heldBy(machineType) > 0 }
+                            ?: continue
+                    demand.setValue(demand.value - demand.key.heldBy(machineType))
+                    given.add(host.name)
+                }
+                if (given.isEmpty()) continue
+                log.info("slice {} gives {} machines to slice {}", giver.slice.value, given.size, needy.slice.value)
+                cluster.markLeaving(giver.slice, given, needy.slice)
+                // Their room is not known to the needy slice before they have moved.
+                moving[needy.slice] = clock.now() + MOVE_MS
+            }
+        }
+    }
+
+    /**
+     * Has a machine of another slice emptied for a job that starves, once what could be rented for it has not come in time.
+     *
+     * Slices lend each other only whole machines, and with some work on every one of them a job could wait for ever beside
+     * room that would hold it.
+     */
+    fun relieve(totals: List<SliceTotals>, now: Long) {
+        for (needy in totals.filter { it.slice !in relieving }) {
+            for (starving in needy.starving) {
+                val demand = starving.demand
+                if (starving.waitedS < RENTED_BY_NOW_S) continue
+                val (giver, host) = totals.filter { it.slice != needy.slice }.firstNotNullOfOrNull { giver ->
+                    (giver.idle + giver.lendable).firstOrNull { suits(giver.slice, it, demand) }?.let { giver to it }
+                } ?: continue
+                log.info("slice {} empties {} for slice {}, where a job starves", giver.slice.value, host, needy.slice.value)
+                cluster.markLeaving(giver.slice, listOf(host), needy.slice)
+                relieving[needy.slice] = now + RELIEVED_MS
+                break
+            }
+        }
+    }
+
+    private fun suits(slice: SliceIndex, name: String, demand: Demand): Boolean {
+        val host = cluster.hostsOf(slice).firstOrNull { it.name == name } ?: return false
+        val machineType = machineTypes()[host.typeName] ?: return false
+        return !cluster.isLeaving(slice, name) && demand.runsOn(host.typeName, host.zone, host.spot) && demand.heldBy(machineType) > 0
+    }
+
+    private companion object {
+        const val MOVE_MS = 2_000L
+        const val RELIEVED_MS = 25_000L
+
+        /** A machine that was rented when the job began to starve is mostly up by then. */
+        const val RENTED_BY_NOW_S = 55.0
+    }
+}
