A take that is settled after another controller has taken the slice makes nobody an owner

Cause: a take may be found out to have been applied seconds later, by a key of the same transaction. By then another controller may have taken the slice, and the watch have told so. This node became an owner under a term that was over, and stayed one: its record was older than the one known, so nothing told it otherwise; it answered workers and could have taken the slice back for no reason. TakeoverTest was seen failing without the change.

--- a/src/main/kotlin/io/reedmast/ownership/Takeover.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Takeover.kt
@@ -214,6 +214,12 @@
     }
 
     private fun taken(slice: SliceIndex, record: SliceRecord, revision: Long) {
+        val known = slices.records[slice.value]
+        if (known != null && known.version > revision) {
+            // Settled late, and another controller has taken the slice since.
+            retrySoon(slice)
+            return
+        }
         owners[slice.value]?.dropped = true
         owners[slice.value] = null
         slices.seeToken(record.token, revision)
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/ownership/TakeoverTest.kt
@@ -0,0 +1,85 @@
+package io.reedmast.ownership
+
+import io.reedmast.ports.Clock
+import io.reedmast.settings.CloudLimits
+import io.reedmast.settings.Member
+import io.reedmast.settings.NodeIndex
+import io.reedmast.settings.Settings
+import io.reedmast.settings.SliceIndex
+import io.reedmast.settings.StateLimits
+import io.reedmast.settings.TeamShare
+import io.reedmast.settings.Tuning
+import io.reedmast.settings.WorkerRules
+import io.reedmast.sim.RecordingGateway
+import io.reedmast.sim.World
+import io.reedmast.state.Change
+import io.reedmast.state.Event
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+
+/** A slice is this node's only while no newer record says otherwise, however late the answer to its taking is. */
+class TakeoverTest {
+    private var now = 100_000L
+    private val clock = object : Clock {
+        override fun now() = now
+
+        override fun wall() = now
+    }
+    private val settings = Settings(
+        label = "n0",
+        front = World.address(0, 8080),
+        clusterListen = World.address(0, 8081),
+        members = listOf("n0", "n1").mapIndexed { i, label -> Member(label, World.address(i, 8081)) },
+        self = NodeIndex(0),
+        cloud = "10.2.0.2:1",
+        state = "10.2.0.1:1",
+        zones = listOf("x"),
+        teams = listOf(TeamShare("a", 8.0, 12.0, 0.0, 0.0)),
+        objectives = emptyList(),
+        workers = WorkerRules(3.0, 16.0, 41.0),
+        stateLimits = StateLimits(100.0, 50.0, 8192, 16),
+        cloudLimits = CloudLimits(2.0, 5.0),
+        maxConnections = 100,
+    )
+    private val out = RecordingGateway()
+    private val cluster = Cluster(settings, Tuning(), clock, out, { emptyList() }, "n0-1")
+    private val key = Keys.slice(0)
+
+    private fun take(): Change = out.commits.first { change -> change.writes.any { it.path == key } }
+
+    private fun taking(): Write.Put = take().writes.filterIsInstance<Write.Put>().first { it.path == key }
+
+    @BeforeEach
+    fun begin() {
+        cluster.snapshot(emptyList(), revision = 10, askedAt = now)
+        cluster.jobsSnapshot(emptyList(), revision = 10, askedAt = now)
+        cluster.tick()
+    }
+
+    @Test
+    fun `a take that was applied makes this node the owner`() {
+        take().done(Outcome.Applied(20))
+        assertEquals(listOf(0), cluster.owned().map { it.index.value })
+    }
+
+    @Test
+    fun `the watch tells of it first, and the answer changes nothing more`() {
+        cluster.clusterEvents(listOf(Event(key, taking().value, 20)), revision = 20, askedAt = now)
+        val owner = cluster.owned().single()
+        take().done(Outcome.Applied(20))
+        assertEquals(owner, cluster.owned().single())
+    }
+
+    /** The answer is made up for after an outage of this node alone, in which another has taken the slice. */
+    @Test
+    fun `a take that is settled after another controller's is not acted on`() {
+        cluster.clusterEvents(listOf(Event(key, SliceRecord("n1", 5L shl 20).toFields(), 30)), revision = 30, askedAt = now)
+        take().done(Outcome.Applied(20))
+        assertEquals(emptyList<Int>(), cluster.owned().map { it.index.value })
+        assertEquals("n1", cluster.ownerOf(SliceIndex(0)))
+    }
+}
