Gang jobs: all tasks start under one attempt, or none does

Submissions of shape gang are accepted. A gang is placed as a whole in one slice (one zone, if it asks for that), its placements are stored before anything is launched, and it is placed again only when every task of the last attempt has ended by evidence. A task that is gone or stopped has the others stopped at once, directly and with time to save. One task that is done proves it of all. Waiting gangs keep arrays off a few machines, rent for all tasks in one zone, and preempt on the machines kept for them.

The stand-in workers play the phases of gangs; the checker gets two attempts at once and neglected gangs.

WireTest named shape gang as an unknown shape, which it is not any more: it now names another word and is as strict.

--- a/src/main/kotlin/io/reedmast/fleet/ArrivalRates.kt
+++ b/src/main/kotlin/io/reedmast/fleet/ArrivalRates.kt
@@ -9,7 +9,7 @@
     fun serviceCpus(now: Long, seconds: Double): Double {
         val arrivals = sliceState.arrivals.since(now - ARRIVALS_WINDOW_MS)
         // With the last service gone, nothing says that more will come.
-        if (arrivals.isEmpty() || sliceState.jobs.values.none { it.spec.service }) return 0.0
+        if (arrivals.isEmpty() || sliceState.jobs.values.none { it.spec.service || it.spec.gang }) return 0.0
         val part = seconds * 1000.0 / ARRIVALS_WINDOW_MS
         return arrivals.sumOf { it.cpus } * part + 2 * sqrt(arrivals.sumOf { it.cpus * it.cpus } * part)
     }
--- a/src/main/kotlin/io/reedmast/fleet/DemandEstimator.kt
+++ b/src/main/kotlin/io/reedmast/fleet/DemandEstimator.kt
@@ -23,17 +23,49 @@
 
     /** What a task of each job takes of which nothing has run for long, and since how many seconds, the longest first. */
     fun starving(now: Long): List<Starving> = sliceState.jobs.values
-        .filter { sliceState.hungry(it) && !it.ending && sliceState.allowance(it) > 0 }
+        .filter { sliceState.hungry(it) && !it.ending && sliceState.allowance(it) >= tasksAtOnce(it) }
         .sortedBy { sliceState.hungrySince(it) }.take(MAX_STARVING)
-        .map { Starving(Demand.of(it.spec, true, 1, onlyZone(it)), (now - sliceState.hungrySince(it)) / 1000.0) }
+        .map { Starving(Demand.of(it.spec, true, tasksAtOnce(it), onlyZone(it)), (now - sliceState.hungrySince(it)) / 1000.0) }
 
     /** The zone in which new room for the job must be, if its other tasks or its user leave only one. */
-    private fun onlyZone(job: Job): String? = zonesOpen(job, zones())?.singleOrNull() ?: job.spec.zone
+    private fun onlyZone(job: Job): String? = zonesOpen(job, zones())?.singleOrNull() ?: zoneForGang(job)
+
+    /** How many tasks of the job start at once, or not at all. */
+    private fun tasksAtOnce(job: Job): Int = if (job.spec.gang) job.spec.taskCount else 1
+
+    /**
+     * The zone in which to find room for a gang that needs one: that with most free room of ours, then the others in turn, since the
+     * cloud may have nothing left in one.
+     */
+    private fun zoneForGang(job: Job): String? {
+        if (!job.spec.gang || !job.spec.oneZone || job.spec.zone != null) return job.spec.zone
+        val zones = zonesByFreeRoom()
+        if (zones.isEmpty()) return null
+        return zones[((sliceState.clock.now() - job.waitsSince) / ZONE_TRIED_MS % zones.size).toInt()]
+    }
 
     private fun machinesIn(zone: String) = sliceState.machines.values.count { it.record.zone == zone }
 
     private fun zones() = sliceState.machineTypes.flatMapTo(LinkedHashSet()) { it.zones }
 
+    /** A gang that is to be spread needs room in several zones at once: machines in one zone alone would stay empty and go again. */
+    private fun demandOfSpreadGang(job: Job): List<Demand> {
+        val spec = job.spec
+        val inOneZone = (spec.taskCount + 1) / 2
+        var left = spec.taskCount
+        val demands = ArrayList<Demand>()
+        for (zone in zonesByFreeRoom()) {
+            if (left <= 0) break
+            val tasks = minOf(left, inOneZone)
+            demands.add(Demand.of(spec, sliceState.late(job), tasks, zone))
+            left -= tasks
+        }
+        return demands
+    }
+
+    private fun zonesByFreeRoom(): List<String> =
+        zones().sortedByDescending { zone -> sliceState.machines.values.sumOf { if (it.record.zone == zone && it.usable) it.freeCpus else 0.0 } }
+
     fun demand(): List<Demand> {
         val rooms = coming()
         val kinds = LinkedHashMap<Any, Demand>()
@@ -46,19 +78,21 @@
             val spec = job.spec
             var tasks = minOf(job.waitingCount, sliceState.allowance(job))
             val share = sliceState.settings.teams[job.team.value]
+            if (tasks < tasksAtOnce(job)) continue
             if (share.maxCpus > 0 && spec.cpus > 0) {
                 val cpus = left.getOrPut(job.team) { share.maxCpus - sliceState.usedCpus(job.team) }
                 tasks = minOf(tasks, (cpus / spec.cpus + Machine.EPSILON).toInt())
+                if (tasks < tasksAtOnce(job)) continue
                 left[job.team] = cpus - tasks * spec.cpus
             }
-            val open = zonesOpen(job, zones)
+            val open = zonesOpen(job, zones) ?: if (spec.gang) zoneForGang(job)?.let { setOf(it) } else null
             tasks = countWithoutRoom(spec, tasks, if (open == null) rooms else rooms.filter { it.host.zone in open })
             // The pace takes any room of the slice for room of the job. Where it is in another zone, say, the job would wait for ever.
-            if (!spec.service) tasks = minOf(tasks, maxOf(pace.tasksToRentFor(job, tasks, now), if (sliceState.starves(job)) 1 else 0))
+            if (!spec.service && !spec.gang) tasks = minOf(tasks, maxOf(pace.tasksToRentFor(job, tasks, now), if (sliceState.starves(job)) 1 else 0))
             if (tasks <= 0 || open?.isEmpty() == true) continue
             val zone = if (open == null || open.size == zones.size) spec.zone else open.minBy { machinesIn(it) }
-            val demand = Demand.of(spec, sliceState.late(job), tasks, zone)
-            kinds.merge(demand.kind(), demand, Demand::plus)
+            val wanted = if (spec.gang && spec.spread) demandOfSpreadGang(job) else listOf(Demand.of(spec, sliceState.late(job), tasks, zone))
+            wanted.forEach { kinds.merge(it.kind(), it, Demand::plus) }
         }
         return kinds.values.toList()
     }
@@ -81,7 +115,7 @@
             for (machine in sliceState.machines.values) if (machine.usable) cpus += machine.freeCpus
             cpus += rooms.sumOf { it.freeCpus }
             for (job in sliceState.jobs.values) {
-                if (job.spec.service) continue
+                if (job.spec.service || job.spec.gang) continue
                 val running = job.placedCount * job.spec.cpus
                 cpus += running
                 work += running * job.spec.estimateS / 2
@@ -109,5 +143,6 @@
         const val LATEST_BOOTS = 1.0
         const val REPORTS_TO_SHOW_UP = 2
         const val MAX_STARVING = 3
+        const val ZONE_TRIED_MS = 15_000L
     }
 }
--- a/src/main/kotlin/io/reedmast/fleet/SliceResizer.kt
+++ b/src/main/kotlin/io/reedmast/fleet/SliceResizer.kt
@@ -61,17 +61,33 @@
             for (starving in needy.starving) {
                 val demand = starving.demand
                 if (starving.waitedS < RENTED_BY_NOW_S) continue
-                val (giver, host) = totals.filter { it.slice != needy.slice }.firstNotNullOfOrNull { giver ->
-                    (giver.idle + giver.lendable).firstOrNull { suits(giver.slice, it, demand) }?.let { giver to it }
+                val (giver, hosts) = totals.filter { it.slice != needy.slice }.firstNotNullOfOrNull { giver ->
+                    hostsFor(demand, giver).takeIf { it.isNotEmpty() }?.let { giver to it }
                 } ?: continue
-                log.info("slice {} empties {} for slice {}, where a job starves", giver.slice.value, host, needy.slice.value)
-                cluster.markLeaving(giver.slice, listOf(host), needy.slice)
+                log.info("slice {} empties {} for slice {}, where a job starves", giver.slice.value, hosts, needy.slice.value)
+                cluster.markLeaving(giver.slice, hosts, needy.slice)
                 relieving[needy.slice] = now + RELIEVED_MS
                 break
             }
         }
     }
 
+    /** Machines of a slice that hold what starves: a single task, or a whole gang, as far as [MOST_EMPTIED] machines do. */
+    private fun hostsFor(demand: Demand, giver: SliceTotals): List<String> {
+        val hosts = ArrayList<String>()
+        var left = demand.count
+        for (host in giver.idle + giver.lendable) {
+            if (left <= 0 || hosts.size >= MOST_EMPTIED) break
+            if (host in hosts || !suits(giver.slice, host, demand)) continue
+            hosts.add(host)
+            left -= heldBy(giver.slice, host, demand)
+        }
+        return hosts
+    }
+
+    private fun heldBy(slice: SliceIndex, name: String, demand: Demand): Int =
+        cluster.hostsOf(slice).firstOrNull { it.name == name }?.let { machineTypes()[it.typeName] }?.let { demand.heldBy(it) } ?: 0
+
     private fun suits(slice: SliceIndex, name: String, demand: Demand): Boolean {
         val host = cluster.hostsOf(slice).firstOrNull { it.name == name } ?: return false
         val machineType = machineTypes()[host.typeName] ?: return false
@@ -80,6 +96,7 @@
 
     private companion object {
         const val MOVE_MS = 2_000L
+        const val MOST_EMPTIED = 4
         const val RELIEVED_MS = 25_000L
 
         /** A machine that was rented when the job began to starve is mostly up by then. */
--- a/src/main/kotlin/io/reedmast/fleet/SpareMachines.kt
+++ b/src/main/kotlin/io/reedmast/fleet/SpareMachines.kt
@@ -68,7 +68,7 @@
      */
     fun lendable(now: Long): List<String> {
         val usable = sliceState.machines.values.filter {
-            it.usable && it.noticeUntil == 0L && it.placements.values.none { p -> now - p.madeAt < JUST_PLACED_MS }
+            it.usable && it.noticeUntil == 0L && it.placements.values.none { p -> now - p.madeAt < JUST_PLACED_MS || p.job.spec.gang }
         }
         val free = usable.sumOf { it.freeCpus }
         return usable
--- a/src/main/kotlin/io/reedmast/jobs/Job.kt
+++ b/src/main/kotlin/io/reedmast/jobs/Job.kt
@@ -12,6 +12,9 @@
     ABORTED,
     PREEMPTED,
     DRAINED,
+
+    /** Another task of its gang is gone. */
+    GANG_INCOMPLETE,
 }
 
 /**
@@ -111,6 +114,16 @@
         return chunks[index] ?: Chunk(this, index, index * chunkSize, minOf(chunkSize, spec.taskCount - index * chunkSize)).also { chunks[index] = it }
     }
 
+    /** Of a gang: the last attempt that did not become whole in time, and how many there were. */
+    var lastAloneAttempt = 0L
+    var attemptsAlone = 0
+
+    /** Of a gang: the last attempt in which a task failed by itself. */
+    var lastFailedAttempt = 0L
+
+    /** Whether all tasks of the gang have placements, and the state service holds each: nothing of it is launched before. */
+    val isWholeGangStored: Boolean get() = placedCount == spec.taskCount && placements().all { it.committed && it.stopReason == null }
+
     fun nextWaiting(): Int = waiting.nextSetBit(0)
 
     fun placements(): Sequence<Placement> = chunks.asSequence().filterNotNull().flatMap { it.placements.values }
--- a/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
@@ -1,5 +1,6 @@
 package io.reedmast.jobs
 
+import io.reedmast.gangs.zonesNeverHold
 import io.reedmast.ownership.Cluster
 import io.reedmast.ports.Clock
 import io.reedmast.ports.Gateway
@@ -10,6 +11,7 @@
 import io.reedmast.state.Keys
 import io.reedmast.state.Outcome
 import io.reedmast.state.Write
+import io.reedmast.wire.JobShape
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.JobState
 import io.reedmast.wire.JobStatus
@@ -54,6 +56,10 @@
             answer(later())
             return
         }
+        if (zonesNeverHold(spec, machineTypes().values.flatMapTo(HashSet()) { it.zones })) {
+            refuse(spec.jobId, "the gang's zone rules leave it no place", answer)
+            return
+        }
         if (fitsNowhere(spec)) {
             refuse(spec.jobId, "a task fits no allowed machine type", answer)
             return
@@ -93,7 +99,7 @@
         poll(jobId) { known -> answer(if (known.status == UNKNOWN.status) UserAnswer(422, error = reason) else known) }
 
     private fun refusal(spec: JobSpec, maxCpus: Double, maxGpus: Double): String? {
-        val times = if (spec.service) spec.taskCount.toDouble() else 1.0
+        val times = if (spec.shape == JobShape.ARRAY) 1.0 else spec.taskCount.toDouble()
         val above = (maxCpus > 0 && spec.cpus * times > maxCpus + SLACK) || (maxGpus > 0 && spec.gpus * times > maxGpus + SLACK)
         return if (above) "more than the team's limit" else null
     }
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -4,6 +4,7 @@
 import io.reedmast.fleet.DemandEstimator
 import io.reedmast.fleet.SpareMachines
 import io.reedmast.fleet.TotalsWriter
+import io.reedmast.gangs.GangCoordinator
 import io.reedmast.ownership.SliceRecord
 import io.reedmast.peers.JobProgress
 import io.reedmast.peers.PeerMessage
@@ -73,7 +74,8 @@
     private val slice = index.value
     val sliceState = SliceState(index, settings, tuning, clock, machineTypes, fresh)
     private val commands = Commands(sliceState, out) { machine, report -> reports.answered(machine, report) }
-    private val reports: Reports = Reports(sliceState, commands) { records.renewToken(index) }
+    private val gangs = GangCoordinator(sliceState, commands)
+    private val reports: Reports = Reports(sliceState, commands, gangs) { records.renewToken(index) }
     private val arrivals = ArrivalRates(sliceState)
     private val demandEstimator = DemandEstimator(sliceState, arrivals)
     private val spareMachines = SpareMachines(sliceState, arrivals)
@@ -114,6 +116,7 @@
             placement.committed = true
             sliceState.place(placement)
         }
+        sliceState.jobs.values.forEach { gangs.taken(it) }
         sliceState.jobs.values.forEach { countWaitFromAcceptance(it) }
         sliceState.jobs.values.filter { it.aborted }.forEach { stopAll(it) }
         sliceState.changed.addAll(sliceState.jobs.values)
@@ -216,7 +219,7 @@
         job.idleSince = clock.now()
         job.unservedSince = clock.now()
         if (active) {
-            val (arrivals, amount) = if (spec.service) {
+            val (arrivals, amount) = if (spec.service || spec.gang) {
                 sliceState.arrivals to spec.cpus * spec.taskCount
             } else {
                 sliceState.arrayArrivals to
@@ -262,12 +265,20 @@
             if (placement.job.chunkOf(placement.task).placements[placement.task] !== placement) return
             if (placement.job.aborted) commands.stop(placement, StopReason.ABORTED)
             if (placement.stopReason == null) {
-                commands.launch(placement)
+                launchStored(placement)
             } else if (placement.launchSession == 0L) {
                 sliceState.finish(placement, done = false)
             }
         }
 
+        private fun launchStored(placement: Placement) {
+            val job = placement.job
+            when {
+                !job.spec.gang -> commands.launch(placement)
+                job.isWholeGangStored -> job.placements().forEach { commands.launch(it) }
+            }
+        }
+
         override fun termInDoubt() = records.refresh(index)
 
         override fun recordChanged(path: String, item: Item?) {
@@ -291,6 +302,7 @@
     fun pump() {
         if (!active || dropped) return
         val now = clock.now()
+        gangs.reconcile()
         placer.passIfDue(now)
         progressStore.flush(now)
         commands.send()
--- a/src/main/kotlin/io/reedmast/jobs/SliceState.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceState.kt
@@ -52,6 +52,9 @@
     /** Until then nothing is placed: what runs is not fully known. */
     var placeNotBefore = 0L
 
+    /** Gangs that have lost a task, what is left of which is to be stopped. */
+    val incompleteGangs = LinkedHashSet<Job>()
+
     /** Something has changed that may let waiting work start. */
     var placeWanted = false
 
@@ -91,6 +94,7 @@
             job.idleSince = clock.now()
             if (hasRun(placement, done)) job.unservedSince = clock.now()
         }
+        if (job.spec.gang && !done && job.placedCount > 0) incompleteGangs.add(job)
         touched(job.chunkOf(placement.task))
         count(placement, -1)
         if (placement.machine.placements.isEmpty()) placement.machine.emptySince = clock.now()
@@ -158,6 +162,13 @@
             (spec.gpus == 0.0 || usedGpus[team.value] + spec.gpus <= share.gpus + Machine.EPSILON)
     }
 
+    /** Whether all tasks of a gang are within the team's guarantee. */
+    fun withinAsGang(job: Job): Boolean {
+        val share = settings.teams[job.team.value]
+        return usedCpus[job.team.value] + job.spec.cpus * job.spec.taskCount <= share.cpus + Machine.EPSILON &&
+            (job.spec.gpus == 0.0 || usedGpus[job.team.value] + job.spec.gpus * job.spec.taskCount <= share.gpus + Machine.EPSILON)
+    }
+
     fun beyondGuarantee(team: TeamIndex): Boolean = usedCpus[team.value] > settings.teams[team.value].cpus + Machine.EPSILON
 
     /** How many more tasks of this shape the team's limit allows. */
@@ -214,7 +225,7 @@
         else -> Long.MAX_VALUE
     }
 
-    fun startsSoon(job: Job) = job.spec.service || settings.objectives.any { it.kind == "wait" && it.jobClass == job.spec.jobClass }
+    fun startsSoon(job: Job) = job.spec.service || job.spec.gang || settings.objectives.any { it.kind == "wait" && it.jobClass == job.spec.jobClass }
 
     /** It failed on several machines in a row: the job has a mistake, and the machines have not. */
     fun looksBad(job: Job) = job.failures >= FAILURES_OF_A_BAD_JOB
--- a/src/main/kotlin/io/reedmast/placement/Choice.kt
+++ b/src/main/kotlin/io/reedmast/placement/Choice.kt
@@ -81,7 +81,7 @@
  * Services stay for long and hold their machines, so they gather on few and cheap ones; other work fills up what services
  * hold anyway, then spot machines, and leaves ordinary machines to become empty.
  */
-private fun score(spec: JobSpec, machine: Machine): Double {
+internal fun score(spec: JobSpec, machine: Machine): Double {
     val machineType = machine.machineType ?: return Double.MAX_VALUE
     val fetch = if (spec.image in machine.images) 0.0 else spec.imageGb / machineType.fetchGbPerS
     val fullness = FULLNESS_S * machine.freeCpus / maxOf(machineType.cpus, 1e-3)
--- a/src/main/kotlin/io/reedmast/placement/Placer.kt
+++ b/src/main/kotlin/io/reedmast/placement/Placer.kt
@@ -7,6 +7,9 @@
 import io.reedmast.fleet.DemandEstimator
 import io.reedmast.fleet.SpareMachines
 import io.reedmast.fleet.isDear
+import io.reedmast.gangs.GangReservations
+import io.reedmast.gangs.chooseForGang
+import io.reedmast.gangs.tasksThatFit
 import io.reedmast.jobs.Job
 import io.reedmast.jobs.Placement
 import io.reedmast.jobs.SliceState
@@ -29,6 +32,7 @@
     private var attempts = 0L
     private var nextPass = 0L
     private var lastPass = 0L
+    private val reservations = GangReservations()
     private val keptFromAll = HashMap<TeamIndex, MutableList<Placement>>()
     private val nextUnserved = HashMap<TeamIndex, Long>()
 
@@ -63,12 +67,16 @@
         val ready = sliceState.jobs.values.filter { it.waitingCount > 0 && !it.ending && now >= it.notBefore }
         if (ready.isEmpty()) return
         val machines = candidates(now)
+        reservations.prune(now)
         val homes = machines.filter { it.isServiceHome }
         val most = homes.sumOf { it.machineType?.cpus ?: 0.0 } * MOST_RESERVED
         val room = HeldRoom(homes.sumOf { it.freeCpus }, minOf(spareMachines.reserve(now), most))
         val wall = sliceState.clock.wall()
         val full = HashSet<Shape>()
         val placed = HashMap<Job, Int>()
+        for (job in waitingGangs(ready, now)) {
+            if (placeOne(job, machines, room, full, now)) placed.merge(job, 1, Int::plus) else reservations.reserve(job, machines, now)
+        }
         for (job in unservedJobs(ready, now)) {
             if (!placeOne(job, machines, room, full, now)) continue
             placed.merge(job, 1, Int::plus)
@@ -93,7 +101,7 @@
     }
 
     /** Within a team: by priority, then what has got nothing for long, of which one task is placed at a time, then by due time. */
-    private val queueOrder = compareBy<Job>({ it.spec.priority }, { !sliceState.isUnserved(it) }, { sliceState.dueMs(it) })
+    private val queueOrder = compareBy<Job>({ it.spec.priority }, { !sliceState.isUnserved(it) }, { !it.spec.gang }, { sliceState.dueMs(it) })
 
     /**
      * A few jobs of each team that have got nothing for longest, now and then: a team that is always at its limit, or in a full slice,
@@ -103,6 +111,16 @@
         .filter { now >= (nextUnserved[it.team] ?: 0L) && sliceState.isUnserved(it) }
         .groupBy { it.team }.values.flatMap { jobs -> jobs.sortedByDescending { sliceState.unservedForMs(it) }.take(UNSERVED_AT_ONCE) }
 
+    /**
+     * Funded gangs within their teams' guarantees that found no room in an earlier pass. Each piece of room that comes free would go
+     * to an array of some team before there is enough for a gang.
+     */
+    private fun waitingGangs(ready: List<Job>, now: Long): List<Job> = ready
+        .filter { it.spec.gang && it.spec.priority.funded && now - it.waitsSince > PASS_EVERY_MS && fitsWithinLimits(it) && sliceState.withinAsGang(it) }
+        .sortedWith(compareBy({ it.spec.priority }, { it.waitsSince }))
+
+    private fun fitsWithinLimits(job: Job) = sliceState.allowance(job) >= job.spec.taskCount
+
     private fun first(queues: Map<TeamIndex, ArrayDeque<Job>>, wall: Long): TeamIndex {
         if (queues.size == 1) return queues.keys.first()
         return queues.keys.minWith(compareBy({ t -> !sliceState.within(t, queues.getValue(t).first().spec) }, { t -> sliceState.ratio(t, wall) }))
@@ -118,6 +136,7 @@
     /** True if a task was placed and the job may have another one to place. */
     private fun placeOne(job: Job, machines: List<Machine>, room: HeldRoom, full: MutableSet<Shape>, now: Long): Boolean {
         if (job.waitingCount <= 0 || sliceState.allowance(job) < 1) return false
+        if (job.spec.gang) return placeGang(job, machines, room, now)
         val task = job.nextWaiting()
         if (task < 0) return false
         val spec = job.spec
@@ -130,19 +149,42 @@
             Shape(spec.cpus, spec.gpus, spec.memoryGb, spec.spot, spec.allowedTypes, spec.zone, late)
         }
         if (shape != null && shape in full) return false
-        val machine = choose(job, machines, late, starves, room, ::dear)
+        val open = if (spec.service || starves || reservations.isEmpty) machines else machines.filter { !reservations.isKeptFrom(job, it) }
+        val machine = choose(job, open, late, starves, room, ::dear)
         if (machine == null) {
             if (shape != null) full.add(shape)
             return false
         }
-        val attempt = (Token.takings(sliceState.token) shl ATTEMPT_BITS) + ++attempts
+        start(job, task, nextAttempt(), machine, room, now)
+        return true
+    }
+
+    /** Places all tasks of a gang, under one attempt number, or none. */
+    private fun placeGang(job: Job, machines: List<Machine>, room: HeldRoom, now: Long): Boolean {
+        if (job.placedCount > 0 || !fitsWithinLimits(job)) return false
+        val starves = sliceState.starves(job)
+        val late = starves || sliceState.late(job)
+        val assignment = chooseForGang(job, machines) { machine ->
+            (starves || (machine !in job.failedOn && !reservations.isKeptFrom(job, machine))) && (late || !isTooDear(job, machine))
+        } ?: return false
+        val attempt = nextAttempt()
+        var task = 0
+        for ((machine, count) in assignment.tasksByMachine) repeat(count) { start(job, task++, attempt, machine, room, now) }
+        return true
+    }
+
+    private fun isTooDear(job: Job, machine: Machine) =
+        job.spec.spot && !machine.record.spot && !machine.held && machine.machineType?.let { dear(it, job) } == true
+
+    private fun nextAttempt(): Long = (Token.takings(sliceState.token) shl ATTEMPT_BITS) + ++attempts
+
+    private fun start(job: Job, task: Int, attempt: Long, machine: Machine, room: HeldRoom, now: Long) {
         val placement = Placement(job, task, attempt, machine, now)
         if (sliceState.isUnserved(job)) keep(placement, now)
-        if (machine.isServiceHome) room.free -= spec.cpus
+        if (machine.isServiceHome) room.free -= job.spec.cpus
         sliceState.place(placement)
         sliceState.touched(job.chunkOf(task))
         log.debug("{} try {}: placed on {}", placement.id, attempt, machine.name)
-        return true
     }
 
     /** Stopped in the same moment for the work that it was preferred to, the job would get nothing for ever. */
@@ -173,20 +215,45 @@
             if (!sliceState.startsSoon(job) && demandEstimator.comingHolds(job, coming)) continue
             if (++tries > MOST_PREEMPTING) break
             val request = Request(job.spec.priority, sliceState.within(job.team, job.spec), sliceState.ratio(job.team, wall))
+            if (job.spec.gang) {
+                preemptForGang(job, request, wall)
+                continue
+            }
             for (machine in holding) {
                 if (job.waitingCount <= job.preempting) break
                 if (!zonesAllow(job, machine.record.zone)) continue
                 if (!allows(job.spec, machine.record.typeName, machine.record.zone, machine.record.spot)) continue
                 if (machine.placements.values.any { it.stopReason != null }) continue
                 val victims = victims(job, machine, request, wall) ?: continue
-                for (victim in victims) {
-                    log.info("{}: yields to {} on {}", victim.id, job.spec.jobId, machine.name)
-                    commands.stop(victim, StopReason.PREEMPTED)
-                    job.preempting++
-                    sliceState.preemptedFor[victim] = job
-                }
+                victims.forEach { stopFor(job, it, machine) }
+            }
+        }
+    }
+
+    private fun stopFor(job: Job, victim: Placement, machine: Machine) {
+        log.info("{}: yields to {} on {}", victim.id, job.spec.jobId, machine.name)
+        commands.stop(victim, StopReason.PREEMPTED)
+        job.preempting++
+        sliceState.preemptedFor[victim] = job
+    }
+
+    /** Stops work on the machines that are kept for the gang, if all of it fits there then. */
+    private fun preemptForGang(job: Job, request: Request, wall: Long) {
+        if (job.preempting > 0 || !fitsWithinLimits(job)) return
+        val stops = LinkedHashMap<Machine, List<Placement>>()
+        var left = job.spec.taskCount
+        for (machine in reservations.machinesOf(job)) {
+            if (left <= 0) break
+            if (!machine.usable || machine.placements.values.any { it.stopReason != null }) continue
+            var count = minOf(left, tasksThatFit(job.spec, machine))
+            while (count < left) {
+                stops[machine] = victims(job, machine, request, wall, count + 1) ?: break
+                count++
             }
+            left -= count
         }
+        if (left > 0) return
+        for ((machine, victims) in stops) victims.forEach { stopFor(job, it, machine) }
     }
 
     /**
@@ -203,17 +270,18 @@
     /** Whether the work was preferred to [job], of the same team, for its long wait, and too lately to be stopped for it. */
     private fun isKeptFrom(placement: Placement, job: Job) = sliceState.clock.now() < placement.keptUntil && placement.job.team == job.team
 
-    private fun victims(job: Job, machine: Machine, request: Request, wall: Long): List<Placement>? {
+    /** What must be stopped so that [tasks] tasks of [job] fit on the machine; null if that is not allowed or not needed. */
+    private fun victims(job: Job, machine: Machine, request: Request, wall: Long, tasks: Int = 1): List<Placement>? {
         var cpus = machine.freeCpus
         var gpus = machine.freeGpus
         var memoryGb = machine.freeMemoryGb
-        fun enough() = cpus + Machine.EPSILON >= job.spec.cpus && gpus + Machine.EPSILON >= job.spec.gpus && memoryGb + Machine.EPSILON >= job.spec.memoryGb
+        fun enough() = tasksThatFit(job.spec, cpus, gpus, memoryGb) >= tasks
         val chosen = ArrayList<Placement>()
         val candidates =
             machine.placements.values
                 .filter { it.stopReason == null && yieldable(it) && !isKeptFrom(it, job) }
                 .filter { mayYield(runner(it, job, wall), request) }
-                .sortedByDescending { it.madeAt }
+                .sortedWith(compareBy({ it.job.spec.gang }, { -it.madeAt }))
         for (victim in candidates) {
             if (enough()) break
             chosen.add(victim)
@@ -231,13 +299,19 @@
             priority = spec.priority,
             resumable = spec.resumable,
             sameTeam = placement.job.team == job.team,
-            ranForS = (sliceState.clock.now() - placement.madeAt) / 1000.0,
+            ranForS = (sliceState.clock.now() - protectedSince(placement)) / 1000.0,
             minimumS = minOf(cap, if (spec.estimateS > 0) spec.estimateS else cap),
             teamBeyondGuarantee = sliceState.beyondGuarantee(placement.job.team),
             teamRatio = sliceState.ratio(placement.job.team, wall),
         )
     }
 
+    /** A gang does not work before all of it runs. */
+    private fun protectedSince(placement: Placement): Long {
+        if (!placement.job.spec.gang) return placement.madeAt
+        return placement.job.placements().maxOf { if (it.running) it.runningSince else sliceState.clock.now() }
+    }
+
     private companion object {
         const val MOST_RESERVED = 0.25
         const val UNSERVED_EVERY_MS = 250L
--- a/src/main/kotlin/io/reedmast/settings/Settings.kt
+++ b/src/main/kotlin/io/reedmast/settings/Settings.kt
@@ -35,7 +35,8 @@
 
 data class Member(val label: String, val address: InetSocketAddress)
 
-data class WorkerRules(val reportS: Double, val leaseS: Double, val cancelS: Double)
+/** [gangWaitS]: how long a task waits for the rest of its gang. [gangPeerS]: how soon the tasks of a gang notice that one is gone. */
+data class WorkerRules(val reportS: Double, val leaseS: Double, val cancelS: Double, val gangWaitS: Double = 50.0, val gangPeerS: Double = 5.0)
 
 data class StateLimits(val requestsPerS: Double, val writesPerS: Double, val valueBytes: Int, val opsPerCommit: Int)
 
@@ -68,6 +69,9 @@
     fun sliceOf(team: TeamIndex) = SliceIndex(team.value % slices)
 
     companion object {
+        private const val DEFAULT_GANG_WAIT_S = 50.0
+        private const val DEFAULT_GANG_PEER_S = 5.0
+
         fun load(file: Path): Settings {
             val bytes =
                 try {
@@ -105,7 +109,13 @@
             val workers = at("facts.") { facts.map("workers") }
             val rules =
                 at("facts.workers.") {
-                    WorkerRules(positive(workers, "report_s"), positive(workers, "lease_s"), positive(workers, "cancel_s"))
+                    WorkerRules(
+                        positive(workers, "report_s"),
+                        positive(workers, "lease_s"),
+                        positive(workers, "cancel_s"),
+                        workers.optionalAmount("gang_wait_s") ?: DEFAULT_GANG_WAIT_S,
+                        workers.optionalAmount("gang_peer_s") ?: DEFAULT_GANG_PEER_S,
+                    )
                 }
             if (rules.cancelS <= rules.leaseS) throw SettingsException("facts.workers.cancel_s must be above lease_s")
             val state = at("facts.") { facts.map("state") }
--- a/src/main/kotlin/io/reedmast/wire/Submission.kt
+++ b/src/main/kotlin/io/reedmast/wire/Submission.kt
@@ -13,12 +13,29 @@
     }
 }
 
+/** How the tasks of a job belong together. */
+enum class JobShape(val wire: String) {
+    /** Independent tasks, each of which runs to completion. */
+    ARRAY("array"),
+
+    /** Replicas that run until the job is cancelled. */
+    SERVICE("service"),
+
+    /** All tasks run at the same time, or none does; they complete together. */
+    GANG("gang"),
+    ;
+
+    companion object {
+        fun of(text: String): JobShape = entries.firstOrNull { it.wire == text } ?: throw MalformedException("shape is unknown: $text")
+    }
+}
+
 /** A job as its user described it. */
 data class JobSpec(
     val jobId: String,
     val jobClass: String,
     val teamName: String,
-    val service: Boolean,
+    val shape: JobShape,
     val priority: Priority,
     val taskCount: Int,
     val cpus: Double,
@@ -36,13 +53,15 @@
     val saveS: Double,
     val deadlineS: Double?,
 ) {
+    val service: Boolean get() = shape == JobShape.SERVICE
+    val gang: Boolean get() = shape == JobShape.GANG
     val resumable: Boolean get() = checkpointS > 0.0
 
     fun toFields(): Fields = mapOf(
         "ref" to jobId,
         "lot" to jobClass,
         "crew" to teamName,
-        "shape" to if (service) "service" else "array",
+        "shape" to shape.wire,
         "rank" to priority.wire,
         "pieces" to taskCount,
         "cpus" to cpus,
@@ -72,8 +91,6 @@
         fun parse(fields: Fields): JobSpec {
             val jobId = fields.text("ref")
             if (!isJobId(jobId)) throw MalformedException("ref is not of the usual form")
-            val shape = fields.text("shape")
-            if (shape != "array" && shape != "service") throw MalformedException("shape is unknown: $shape")
             val taskCount = fields.count("pieces")
             if (taskCount < 1 || taskCount > MAX_TASKS) throw MalformedException("pieces is out of range")
             val cpus = fields.amount("cpus")
@@ -84,7 +101,7 @@
                 jobId = jobId,
                 jobClass = fields.text("lot").limited("lot"),
                 teamName = fields.text("crew").limited("crew"),
-                service = shape == "service",
+                shape = JobShape.of(fields.text("shape")),
                 priority = Priority.of(fields.text("rank")),
                 taskCount = taskCount.toInt(),
                 cpus = cpus,
--- a/src/main/kotlin/io/reedmast/wire/WorkerMessages.kt
+++ b/src/main/kotlin/io/reedmast/wire/WorkerMessages.kt
@@ -3,6 +3,9 @@
 /** The state of one task on a worker. */
 enum class TaskState(val wire: String) {
     FETCHING("fetching"),
+
+    /** A task of a gang that waits for the other tasks of its attempt. */
+    WAITING("waiting"),
     RUNNING("running"),
     SAVING("saving"),
     ENDED("ended"),
@@ -16,6 +19,12 @@
     NO_ROOM("no_room"),
     BUSY("busy"),
     UNKNOWN("unknown"),
+
+    /** Another task of the gang is gone. */
+    PEERS("peers"),
+
+    /** The gang was not complete in time. */
+    ALONE("alone"),
 }
 
 /** One task of one job: `wk-000412/3`. */
--- a/src/main/kotlin/io/reedmast/workers/Commands.kt
+++ b/src/main/kotlin/io/reedmast/workers/Commands.kt
@@ -33,7 +33,13 @@
         if (placement.machine.trusted) outbox.getOrPut(placement.machine) { ArrayList() }.add(Order.Launch(placement.id, placement.attempt))
     }
 
+    /** Stops an attempt, and with a task of a gang all of it: each has to save at the same time. */
     fun stop(placement: Placement, reason: StopReason) {
+        stopOne(placement, reason)
+        if (placement.job.spec.gang) placement.job.placements().filter { it.stopReason == null }.toList().forEach { stopOne(it, reason) }
+    }
+
+    private fun stopOne(placement: Placement, reason: StopReason) {
         if (placement.stopReason == StopReason.ABORTED || placement.stopReason == reason) return
         placement.stopReason = reason
         if (reason != StopReason.ABORTED) log.info("{} try {}: to be stopped on {}: {}", placement.id, placement.attempt, placement.machine.name, reason)
@@ -45,10 +51,13 @@
 
     fun stopOrder(placement: Placement): Order.Stop {
         val spec = placement.job.spec
-        val grace = if (placement.stopReason == StopReason.ABORTED || !spec.resumable) 0.0 else spec.saveS + GRACE_SLACK_S
+        val grace = if (savesNothing(placement.stopReason) || !spec.resumable) 0.0 else spec.saveS + GRACE_SLACK_S
         return Order.Stop(placement.id, placement.attempt, grace)
     }
 
+    /** The progress is of no use to anybody, or is lost already. */
+    private fun savesNothing(reason: StopReason?) = reason == StopReason.ABORTED || reason == StopReason.GANG_INCOMPLETE
+
     /** Sends what has gathered for the workers. */
     fun send() {
         if (outbox.isEmpty()) return
--- a/src/main/kotlin/io/reedmast/workers/Reports.kt
+++ b/src/main/kotlin/io/reedmast/workers/Reports.kt
@@ -1,5 +1,6 @@
 package io.reedmast.workers
 
+import io.reedmast.gangs.GangCoordinator
 import io.reedmast.jobs.Placement
 import io.reedmast.jobs.SliceState
 import io.reedmast.jobs.StopReason
@@ -17,7 +18,7 @@
  *
  * Only a report made under our token counts: an older owner's commands may reach the worker until it has seen ours.
  */
-class Reports(private val sliceState: SliceState, private val commands: Commands, private val renewToken: () -> Unit) {
+class Reports(private val sliceState: SliceState, private val commands: Commands, private val gangs: GangCoordinator, private val renewToken: () -> Unit) {
     private val log = LoggerFactory.getLogger("slice")
 
     /** Takes in a report and gives the commands for its answer. */
@@ -113,6 +114,8 @@
         when (reported.state) {
             TaskState.FETCHING -> {}
 
+            TaskState.WAITING -> machine.noteImage(placement.job.spec.image, placement.job.spec.imageGb)
+
             TaskState.RUNNING, TaskState.SAVING -> {
                 if (!placement.running) {
                     placement.job.noteRunning(placement, now)
@@ -125,6 +128,8 @@
                 return
             }
         }
+        // An owner before us has begun to stop the gang: its other tasks must be told in time, or nothing is saved.
+        if (placement.job.spec.gang && reported.state == TaskState.SAVING) commands.stop(placement, StopReason.DRAINED)
         if (placement.stopReason != null && (reported.state != TaskState.SAVING || placement.stopReason == StopReason.ABORTED)) {
             orders.add(commands.stopOrder(placement))
         }
@@ -145,7 +150,7 @@
                 job.failedOn.forEach { retireIfSick(it) }
             }
 
-            Cause.ERROR -> {
+            Cause.ERROR -> if (countsAsFailure(placement)) {
                 machine.failedJobs.add(job.spec.jobId)
                 // Several tasks that fail together on one machine say no more of the job than one does: counted each, they made
                 // a sick machine look like a job with a mistake, and the machine was kept.
@@ -168,9 +173,17 @@
                 job.notBefore = maxOf(job.notBefore, now + FIRST_RETRY_MS)
             }
 
-            Cause.HALTED -> {}
+            Cause.HALTED, Cause.PEERS, Cause.ALONE -> {}
         }
-        sliceState.finish(placement, done)
+        if (job.spec.gang) gangs.ended(placement, cause) else sliceState.finish(placement, done)
+    }
+
+    /** Several tasks of a gang fail together where the gang has a mistake: that says no more than one failure does. */
+    private fun countsAsFailure(placement: Placement): Boolean {
+        val job = placement.job
+        val first = !job.spec.gang || job.lastFailedAttempt != placement.attempt
+        job.lastFailedAttempt = placement.attempt
+        return first
     }
 
     /**
@@ -230,7 +243,7 @@
         if (sentBefore && placement.launchSession < report.session && !mayLaunch) {
             // A later session: everything of the earlier one was killed, and its launches are refused.
             log.info("{} try {}: lost with a session of {}", placement.id, placement.attempt, machine.name)
-            if (placement.stopReason != null || !machine.usable || machine.noticeUntil != 0L) {
+            if (placement.stopReason != null || !machine.usable || machine.noticeUntil != 0L || placement.job.spec.gang) {
                 sliceState.finish(placement, done = false)
                 return
             }
@@ -241,7 +254,7 @@
         if (!checkin) return
         if (placement.stopReason == null) {
             // What runs is answered on through an outage, but nothing starts: its user may have been told that it is cancelled.
-            if (sliceState.fresh()) launch(placement, report.sequence, orders)
+            if (sliceState.fresh() && gangs.mayLaunch(placement)) launch(placement, report.sequence, orders)
             return
         }
         if (mayLaunch && machine.directCalls > 0) return
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/SimGang.kt
@@ -0,0 +1,117 @@
+package io.reedmast.sim
+
+import io.reedmast.wire.Cause
+import io.reedmast.wire.TaskState
+
+/**
+ * One attempt of a gang, over all its workers: its tasks wait for each other, run, save and complete together.
+ *
+ * The workers find each other by the attempt number, whatever the controllers know.
+ */
+class SimGang(private val world: World, private val job: World.SimJob) {
+    /** A task of the attempt on its worker. */
+    interface Member {
+        val task: Int
+
+        /** Its machine executes nothing. */
+        val hung: Boolean
+
+        fun show(state: TaskState)
+
+        /** The task exits by itself. */
+        fun exit(cause: Cause)
+    }
+
+    private enum class Phase { WAITING, RUNNING, STOPPING, BROKEN, OVER }
+
+    private val members = LinkedHashMap<Int, Member>()
+    private var phase = Phase.WAITING
+    private var startedAt = 0L
+    private var firstStopAt = 0L
+    private val told = HashSet<Int>()
+
+    /** The task has its image. */
+    fun ready(member: Member) {
+        members[member.task] = member
+        member.show(TaskState.WAITING)
+        if (phase != Phase.WAITING) {
+            // It has come too late for the attempt, and waits in vain.
+            exitLater(member, world.settings.workers.gangWaitS, Cause.ALONE)
+        } else if (members.size == job.spec.taskCount) {
+            begin()
+        } else {
+            exitLater(member, world.settings.workers.gangWaitS, Cause.ALONE) { phase == Phase.WAITING }
+        }
+    }
+
+    private fun begin() {
+        phase = Phase.RUNNING
+        startedAt = world.now()
+        members.values.forEach { it.show(TaskState.RUNNING) }
+        if (job.fails) {
+            world.after(FAILS_AFTER_MS) { members.values.toList().forEach { it.exit(Cause.ERROR) } }
+            return
+        }
+        world.after(maxOf(1L, job.runMs - job.savedMs)) { if (phase == Phase.RUNNING) complete() }
+    }
+
+    private fun complete() {
+        phase = Phase.OVER
+        val all = members.values.toList()
+        all.forEach { job.complete(it.task) }
+        all.forEach { it.exit(Cause.DONE) }
+    }
+
+    /** A task has disappeared, or its machine hangs. */
+    fun lost(task: Int) {
+        val member = members.remove(task) ?: return
+        when (phase) {
+            Phase.RUNNING, Phase.STOPPING -> breakUp()
+            else -> Unit
+        }
+        if (member.hung && phase == Phase.BROKEN) members[task] = member
+    }
+
+    private fun progressMs() = job.savedMs + world.now() - startedAt
+
+    private fun breakUp() {
+        if (phase == Phase.RUNNING && job.spec.checkpointS > 0) {
+            val mark = (job.spec.checkpointS * 1000).toLong()
+            job.savedMs = maxOf(job.savedMs, progressMs() / mark * mark)
+        }
+        phase = Phase.BROKEN
+        members.values.toList().forEach { exitLater(it, world.settings.workers.gangPeerS, Cause.PEERS) }
+    }
+
+    private fun exitLater(member: Member, seconds: Double, cause: Cause, still: () -> Boolean = { true }) {
+        world.after((seconds * 1000).toLong()) { if (members[member.task] === member && still()) member.exit(cause) }
+    }
+
+    /** A stop has reached the task; true if it saves and exits by itself, false if it exits at once. */
+    fun stops(task: Int, graceS: Double): Boolean {
+        val saves = job.spec.resumable && graceS >= job.spec.saveS
+        if (!saves || phase == Phase.WAITING || phase == Phase.BROKEN || phase == Phase.OVER) return false
+        if (phase == Phase.RUNNING) {
+            phase = Phase.STOPPING
+            firstStopAt = world.now()
+            val progress = progressMs()
+            val patience = world.settings.workers.gangPeerS
+            world.after(maxOf((job.spec.saveS * 1000).toLong(), (patience * 1000).toLong() / 2)) { save(progress) }
+            members.values.toList().forEach { exitLater(it, patience + job.spec.saveS, Cause.PEERS) { phase == Phase.STOPPING } }
+        }
+        told.add(task)
+        members[task]?.show(TaskState.SAVING)
+        return true
+    }
+
+    private fun save(progress: Long) {
+        if (phase != Phase.STOPPING || told.size < members.size) return
+        phase = Phase.OVER
+        job.savedMs = progress
+        members.values.toList().forEach { it.exit(Cause.HALTED) }
+    }
+
+    private companion object {
+        const val FAILS_AFTER_MS = 200L
+    }
+}
