--- a/src/main/kotlin/io/reedmast/app/Main.kt
+++ b/src/main/kotlin/io/reedmast/app/Main.kt
@@ -17,6 +17,7 @@
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SettingsException
 import io.reedmast.settings.Tuning
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.StateClient
 import io.reedmast.wire.Caller
 import org.slf4j.LoggerFactory
@@ -72,11 +73,12 @@
             }
         val log = LoggerFactory.getLogger("main")
         val eventLoop = EventLoop(SystemClock, MAX_QUEUED)
-        val client = StateClient(settings.state, settings.stateLimits, settings.members.size, Caller(STATE_CONNECT_MS, STATE_READ_MS))
+        val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits)
+        val client = StateClient(settings.state, limits, settings.members.size, Caller(STATE_CONNECT_MS, STATE_READ_MS))
         // Time of day and process start tell two processes of a node apart.
         val incarnation = "${settings.label}-${java.lang.Long.toString(SystemClock.wall(), 36)}-${java.lang.Long.toString(System.nanoTime(), 36)}"
-        val out = NetworkGateway(settings, eventLoop, client, incarnation)
-        val controller = Controller(settings, Tuning(window, protectCap, resize, totals, idle), SystemClock, out, incarnation)
+        val out = NetworkGateway(settings, eventLoop, client, limits, incarnation)
+        val controller = Controller(settings, Tuning(window, protectCap, resize, totals, idle), SystemClock, out, limits, incarnation)
         val timings = Timings(SystemClock)
         val node = Node(eventLoop, controller, timings)
         try {
--- a/src/main/kotlin/io/reedmast/app/NetworkGateway.kt
+++ b/src/main/kotlin/io/reedmast/app/NetworkGateway.kt
@@ -14,6 +14,7 @@
 import io.reedmast.state.Committer
 import io.reedmast.state.Fetched
 import io.reedmast.state.Item
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.StateClient
 import io.reedmast.state.TransactionIds
 import io.reedmast.wire.Caller
@@ -29,10 +30,16 @@
 import java.util.concurrent.TimeUnit
 
 /** Hands calls to small pools of threads and brings their results back to the deciding thread. */
-class NetworkGateway(private val settings: Settings, private val eventLoop: EventLoop, private val client: StateClient, incarnation: String) : Gateway {
+class NetworkGateway(
+    private val settings: Settings,
+    private val eventLoop: EventLoop,
+    private val client: StateClient,
+    limits: LimitsInForce,
+    incarnation: String,
+) : Gateway {
     private val log = LoggerFactory.getLogger("cloud")
     private val committer =
-        Committer(client, settings.stateLimits, MAX_SUBMISSIONS_QUEUED, TransactionIds(incarnation)) { change, outcome ->
+        Committer(client, limits, MAX_SUBMISSIONS_QUEUED, TransactionIds(incarnation)) { change, outcome ->
             eventLoop.post { change.done(outcome) }
         }
     private val reads = WorkPool("read", READ_THREADS, READS_QUEUED)
--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -11,6 +11,7 @@
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Event
 import io.reedmast.state.Item
+import io.reedmast.state.LimitsInForce
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.MachineType
 import io.reedmast.wire.Order
@@ -29,13 +30,20 @@
 }
 
 /** All the deciding parts of a controller, joined; used by one thread. [incarnation] names this process and no other. */
-class Controller(private val settings: Settings, tuning: Tuning, private val clock: Clock, private val out: Gateway, incarnation: String) {
+class Controller(
+    private val settings: Settings,
+    tuning: Tuning,
+    private val clock: Clock,
+    private val out: Gateway,
+    limits: LimitsInForce,
+    incarnation: String,
+) {
     private var machineTypes: Map<String, MachineType> = emptyMap()
     private var machineTypesAsked = false
     private var machineTypesDue = 0L
-    val cluster = Cluster(settings, tuning, clock, out, { machineTypes.values }, incarnation)
+    val cluster = Cluster(settings, tuning, clock, out, limits, { machineTypes.values }, incarnation)
     private val leader = Leader(settings, tuning, clock, out, cluster, { machineTypes }, incarnation)
-    private val jobs = JobRequests(settings, clock, out, cluster) { machineTypes }
+    private val jobs = JobRequests(settings, clock, out, limits, cluster) { machineTypes }
 
     private var tickDue = 0L
 
--- a/src/main/kotlin/io/reedmast/fairshare/Usage.kt
+++ b/src/main/kotlin/io/reedmast/fairshare/Usage.kt
@@ -34,8 +34,12 @@
         return sum
     }
 
-    fun toFields(teams: Collection<TeamIndex>): Fields = teams.filter { it in charged }.associate { team ->
-        team.value.toString() to charged.getValue(team).flatMap { listOf(it.key, it.value.roundToLong()) }
+    /** At most [mostBuckets] of each team: the oldest are added to the next ones, which a small record has room for. */
+    fun toFields(teams: Collection<TeamIndex>, mostBuckets: Int = BUCKETS + 1): Fields = teams.filter { it in charged }.associate { team ->
+        val buckets = charged.getValue(team)
+        val kept = buckets.entries.drop(maxOf(0, buckets.size - mostBuckets))
+        val older = buckets.entries.take(buckets.size - kept.size).sumOf { it.value }
+        team.value.toString() to kept.flatMapIndexed { i, (bucket, amount) -> listOf(bucket, (if (i == 0) amount + older else amount).roundToLong()) }
     }
 
     /** Takes up stored totals in place of what is known of their teams. */
--- a/src/main/kotlin/io/reedmast/fleet/SliceTotals.kt
+++ b/src/main/kotlin/io/reedmast/fleet/SliceTotals.kt
@@ -2,6 +2,7 @@
 
 import io.reedmast.settings.SliceIndex
 import io.reedmast.wire.Fields
+import io.reedmast.wire.Tree
 import io.reedmast.wire.amount
 import io.reedmast.wire.count
 import io.reedmast.wire.list
@@ -38,7 +39,32 @@
         "dark" to darkZones,
     )
 
+    /** With fewer machines, and then fewer wishes, named, as far as needed for a stored value of so many bytes. */
+    fun within(bytes: Int): SliceTotals {
+        var totals = this
+        while (Tree.jsonSize(totals.toFields()) > bytes) totals = totals.shortened() ?: return totals
+        return totals
+    }
+
+    private fun shortened(): SliceTotals? = when {
+        idle.size > FEW_HOSTS -> copy(idle = idle.take(idle.size / 2))
+        lendable.size > FEW_HOSTS -> copy(lendable = lendable.take(lendable.size / 2))
+        demand.size > 1 -> copy(demand = demand.dropLast(1))
+        starving.size > 1 -> copy(starving = starving.dropLast(1))
+        idle.isNotEmpty() || lendable.isNotEmpty() -> copy(idle = emptyList(), lendable = emptyList())
+        else -> null
+    }
+
+    private fun copy(
+        idle: List<String> = this.idle,
+        lendable: List<String> = this.lendable,
+        demand: List<Demand> = this.demand,
+        starving: List<Starving> = this.starving,
+    ) = SliceTotals(slice, hostsVersion, usage, ratio, demand, idle, lendable, starving, darkZones)
+
     companion object {
+        private const val FEW_HOSTS = 6
+
         fun parse(slice: SliceIndex, fields: Fields) = SliceTotals(
             slice,
             fields.count("hosts"),
--- a/src/main/kotlin/io/reedmast/fleet/TotalsWriter.kt
+++ b/src/main/kotlin/io/reedmast/fleet/TotalsWriter.kt
@@ -64,16 +64,19 @@
         return SliceTotals(
             slice,
             hostsVersion(),
-            sliceState.usage.toFields(sliceState.teams),
+            sliceState.usage.toFields(sliceState.teams, mostBuckets()),
             ratio = waiting.minOfOrNull { sliceState.ratio(it, wall) } ?: 0.0,
             demand = demand.take(MAX_KINDS),
             idle = spareMachines.movable(now),
             lendable = spareMachines.lendable(now),
             starving = starving,
             darkZones = spareMachines.darkZones(now),
-        )
+        ).within(sliceState.limits.target.valueBytes * FILLED_PERCENT / 100 - ENVELOPE_BYTES)
     }
 
+    /** Charged use may take a third of the value, whatever it is made of. */
+    private fun mostBuckets(): Int = maxOf(2, sliceState.limits.target.valueBytes / 3 / maxOf(1, sliceState.teams.size) / BYTES_PER_BUCKET)
+
     private fun store(totals: SliceTotals, writePriority: WritePriority) {
         writing = true
         val value = totals.toFields() + ("term" to sliceState.term)
@@ -114,5 +117,10 @@
         const val LOG_EVERY_MS = 15_000L
         const val MIN_TOTALS_MS = 1_000L
         const val MAX_KINDS = 12
+        const val FILLED_PERCENT = 95
+
+        /** The term and the transaction's id, which are stored beside the totals. */
+        const val ENVELOPE_BYTES = 80
+        const val BYTES_PER_BUCKET = 20
     }
 }
--- a/src/main/kotlin/io/reedmast/jobs/Job.kt
+++ b/src/main/kotlin/io/reedmast/jobs/Job.kt
@@ -59,7 +59,15 @@
 
     /** Whether it has changed since its page was last handed to the state service. */
     var dirty = false
-    val stored: Boolean get() = !dirty && page?.writing != true
+
+    /** How many stored pages of another division hold an older copy of it and are yet to be cleared. */
+    var olderCopies = 0
+
+    /** Whether the state service holds its present state, though another page may hold an older one too. */
+    val isInItsPage: Boolean get() = !dirty && page?.writing != true
+
+    /** Whether the state service holds its present state, and nothing else of it. */
+    val stored: Boolean get() = isInItsPage && olderCopies == 0
 }
 
 /** An unfinished job in the hands of its slice's owner. */
--- a/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
@@ -9,6 +9,7 @@
 import io.reedmast.state.Fetched
 import io.reedmast.state.Guard
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.Outcome
 import io.reedmast.state.Write
 import io.reedmast.wire.JobShape
@@ -30,6 +31,7 @@
     private val settings: Settings,
     private val clock: Clock,
     private val out: Gateway,
+    private val limits: LimitsInForce,
     private val cluster: Cluster,
     private val machineTypes: () -> Map<String, MachineType>,
 ) {
@@ -66,7 +68,7 @@
         }
         val askedAt = clock.now()
         val slice = settings.sliceOf(team).value
-        val record = LiveRecord(spec, ProgressPage.chunkSizeFor(settings.stateLimits.valueBytes), clock.wall(), aborted = false).toFields()
+        val record = LiveRecord(spec, ProgressPage.chunkSizeFor(limits.target.valueBytes), clock.wall(), aborted = false).toFields()
         val path = Keys.live(slice, spec.jobId)
         // A late copy of a submission must not bring back a job that is over: its end is a condition too.
         val change =
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/jobs/PageRetirement.kt
@@ -0,0 +1,67 @@
+package io.reedmast.jobs
+
+import io.reedmast.ports.Gateway
+import io.reedmast.state.Change
+import io.reedmast.state.Fetched
+import io.reedmast.state.Guard
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.state.WritePriority
+
+/**
+ * Clears stored pages whose content has been divided anew.
+ *
+ * A page that an earlier version stored may be larger than the lowered limits allow: it can then be replaced by a small value only.
+ * So each of its parts is first stored in another page. Until all are, the old page stays as it is, and whoever reads both takes the
+ * newer copy of a task. Any step may be the last that is carried out.
+ */
+class PageRetirement(private val sliceState: SliceState, private val out: Gateway) {
+    /** [chunk] speaks for tasks of which [page] holds an older copy. */
+    fun supersede(page: ProgressPage, chunk: Chunk) {
+        if (!page.superseded.add(chunk)) return
+        chunk.olderCopies++
+        if (chunk.page == null) chunk.dirty = true
+        sliceState.changed.add(chunk.job)
+    }
+
+    /** Clears the pages all of whose content stands in other ones. */
+    fun clear(pages: List<ProgressPage>, slice: Int) {
+        for (page in pages) {
+            if (page.superseded.isEmpty() || page.writing) continue
+            if (page.superseded.all { isElsewhere(it) }) clear(page, Keys.page(slice, page.index))
+        }
+    }
+
+    private fun isElsewhere(chunk: Chunk): Boolean {
+        val over = sliceState.jobs[chunk.job.spec.jobId] !== chunk.job
+        return over || (chunk.page != null && chunk.isInItsPage)
+    }
+
+    private fun clear(page: ProgressPage, path: String) {
+        page.writing = true
+        val guards = listOf(sliceState.termGuard, Guard(path, page.version))
+        out.commit(
+            Change(guards, listOf(Write.Put(path, ProgressPage.EMPTY)), WritePriority.LAZY) { outcome ->
+                page.writing = false
+                if (sliceState.dropped) return@Change
+                if (outcome is Outcome.Applied) cleared(page, outcome.revision) else reread(page, path)
+            },
+        )
+    }
+
+    private fun cleared(page: ProgressPage, revision: Long) {
+        page.version = revision
+        page.superseded.forEach { it.olderCopies-- }
+        page.superseded.clear()
+    }
+
+    /** Nobody else writes the page under this term: an answer of our own may have been lost. */
+    private fun reread(page: ProgressPage, path: String) {
+        page.writing = true
+        out.get(path) {
+            page.writing = false
+            if (it is Fetched.Found) page.version = maxOf(page.version, it.item.version)
+        }
+    }
+}
--- a/src/main/kotlin/io/reedmast/jobs/ProgressPage.kt
+++ b/src/main/kotlin/io/reedmast/jobs/ProgressPage.kt
@@ -4,6 +4,7 @@
 import io.reedmast.wire.MalformedException
 import io.reedmast.wire.count
 import io.reedmast.wire.list
+import io.reedmast.wire.maps
 import io.reedmast.wire.text
 import java.util.BitSet
 import java.util.HexFormat
@@ -24,10 +25,16 @@
     /** Since when something in it is not stored, 0 if all is. */
     var dirtySince = 0L
 
+    /** What is stored under its key in another division than today's: it is cleared once all of this is in other pages. */
+    val superseded = LinkedHashSet<Chunk>()
+
+    /** The state service has refused it: until then it is not tried again. */
+    var refusedUntil = 0L
+
     /** Whether a placement waits for it to be launched. */
     var urgent = false
 
-    fun hasRoom(chunk: Chunk, bytes: Int) = reserved + reserve(chunk) <= bytes
+    fun hasRoom(chunk: Chunk, bytes: Int) = superseded.isEmpty() && reserved + reserve(chunk) <= bytes
 
     fun add(chunk: Chunk) {
         chunk.page = this
@@ -38,23 +45,36 @@
         if (chunks.remove(chunk)) reserved -= reserve(chunk)
     }
 
-    fun toFields(left: Set<Placement>): Fields = mapOf(
-        "chunks" to
-            chunks.filter { it.placements.isNotEmpty() || !it.done.isEmpty }.map { chunk ->
-                mapOf(
-                    "job" to chunk.job.spec.jobId,
-                    "first" to chunk.first,
-                    "done" to HexFormat.of().formatHex(chunk.done.toByteArray()),
-                    "on" to chunk.placements.values.filter { it !in left }.flatMap { listOf(it.task, it.attempt, it.machine.name) },
-                )
-            },
+    /**
+     * [sized]: every controller reads chunks that say how many tasks they speak for. One that supersedes an older copy is stored
+     * even if it is empty, or the older one would seem to hold.
+     */
+    fun toFields(left: Set<Placement>, sized: Boolean): Fields = mapOf(
+        "chunks" to chunks.filter { it.placements.isNotEmpty() || !it.done.isEmpty || it.olderCopies > 0 }.map { fieldsOf(it, left, sized) },
     )
 
+    private fun fieldsOf(chunk: Chunk, left: Set<Placement>, sized: Boolean): Fields {
+        val fields = mapOf(
+            "job" to chunk.job.spec.jobId,
+            "first" to chunk.first,
+            "done" to HexFormat.of().formatHex(chunk.done.toByteArray()),
+            "on" to chunk.placements.values.filter { it !in left }.flatMap { listOf(it.task, it.attempt, it.machine.name) },
+        )
+        return if (sized) fields + (SIZE to chunk.size) else fields
+    }
+
     /** One placement as it is stored. */
     class Stored(val task: Int, val attempt: Long, val host: String)
 
     /** One chunk as it is stored. */
-    class StoredChunk(val jobId: String, val first: Int, val done: BitSet, val on: List<Stored>) {
+    class StoredChunk(
+        val jobId: String,
+        val first: Int,
+        /** How many tasks it speaks for; null in records of a version that knew only the size in the job's record. */
+        val size: Int?,
+        val done: BitSet,
+        val on: List<Stored>,
+    ) {
         companion object {
             fun parse(fields: Fields): StoredChunk {
                 val flat = fields.list("on")
@@ -73,12 +93,21 @@
                     } catch (e: IllegalArgumentException) {
                         throw MalformedException("done is no bit set: ${e.message}")
                     }
-                return StoredChunk(fields.text("job"), fields.count("first").toInt(), done, on)
+                val size = if (fields[SIZE] == null) null else fields.count(SIZE).toInt()
+                return StoredChunk(fields.text("job"), fields.count("first").toInt(), size, done, on)
             }
         }
     }
 
     companion object {
+        /** Whether a version that divides pages for lowered limits has stored it. */
+        fun isSized(fields: Fields): Boolean = fields.maps("chunks").any { it[SIZE] != null }
+
+        private const val SIZE = "size"
+
+        /** The value of a page that holds nothing. */
+        val EMPTY: Fields = mapOf("chunks" to emptyList<Fields>())
+
         /** The most that one placement takes: task, attempt and host name, with their commas. */
         private const val BYTES_PER_PLACEMENT = 48
         private const val BYTES_PER_CHUNK = 64
--- a/src/main/kotlin/io/reedmast/jobs/ProgressStore.kt
+++ b/src/main/kotlin/io/reedmast/jobs/ProgressStore.kt
@@ -9,10 +9,13 @@
 import io.reedmast.state.Outcome
 import io.reedmast.state.Write
 import io.reedmast.state.WritePriority
+import io.reedmast.wire.Fields
 import io.reedmast.wire.JobState
 import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Tree
 import io.reedmast.wire.maps
 import org.slf4j.LoggerFactory
+import java.util.BitSet
 
 /** What an owner's storing tells the rest of it. */
 interface Stored {
@@ -34,30 +37,78 @@
     private val log = LoggerFactory.getLogger("slice")
     private val slice = sliceState.index.value
     private val pages = ArrayList<ProgressPage>()
-    private val pageBytes = sliceState.settings.stateLimits.valueBytes * 95 / 100
+    private val pageBytes = sliceState.limits.target.valueBytes * 95 / 100
+
+    /** Whether the pages were read when the lowered limits were known to hold, so that they were divided accordingly. */
+    private val dividedForLowered = sliceState.limits.isLowered
+    private val retirement = PageRetirement(sliceState, out)
     private val toEnd = LinkedHashSet<Job>()
     private var endings = 0
 
-    /** Stored pages as they were read; [place] takes up each placement. */
-    fun load(items: List<Item>, jobs: (String) -> Job?, place: (Job, ProgressPage.Stored) -> Unit) {
-        for (item in items.sortedBy { it.version }) {
+    /** Whether what it holds is to be read again, since the limits were lowered after it was, and some of it is too large for them. */
+    val needsReload: Boolean get() = !dividedForLowered && sliceState.limits.isLowered && pages.any { page -> page.reserved > pageBytes || isTooLarge(page) }
+
+    private fun isTooLarge(page: ProgressPage): Boolean {
+        val most = ProgressPage.chunkSizeFor(sliceState.limits.target.valueBytes)
+        return page.chunks.any { it.size > most }
+    }
+
+    /**
+     * Stored pages as they were read; [place] takes up each placement. [chunkSizes] are those of the jobs' records.
+     *
+     * A page whose division is not today's is read, and its content goes to other pages: see [PageRetirement]. Until it has been
+     * cleared, two pages speak for the same tasks, and the newer one is right.
+     */
+    fun load(items: List<Item>, chunkSizes: Map<String, Int>, place: (Job, ProgressPage.Stored) -> Unit) {
+        val known = HashMap<Job, BitSet>()
+        for (item in items.sortedByDescending { it.version }) {
             val index = item.path.substringAfterLast('/').toIntOrNull() ?: continue
             while (pages.size <= index) pages.add(ProgressPage(pages.size))
             val page = pages[index]
             page.version = item.version
-            reading(item.path) {
-                for (chunk in item.value.maps("chunks")) reading(item.path) { load(ProgressPage.StoredChunk.parse(chunk), page, jobs, place) }
-            }
+            val chunks = ArrayList<ProgressPage.StoredChunk>()
+            reading(item.path) { for (chunk in item.value.maps("chunks")) reading(item.path) { readChunk(chunk)?.let { chunks.add(it) } } }
+            val divided = isDividedOtherwise(chunks, chunkSizes) || Tree.jsonSize(item.value) > sliceState.limits.allowed.valueBytes
+            for (chunk in chunks) load(chunk, page, divided, chunkSizes, known, place)
         }
     }
 
-    private fun load(stored: ProgressPage.StoredChunk, page: ProgressPage, jobs: (String) -> Job?, place: (Job, ProgressPage.Stored) -> Unit) {
+    private fun readChunk(fields: Fields): ProgressPage.StoredChunk? {
+        val stored = ProgressPage.StoredChunk.parse(fields)
         // A job that is over needs no clearing from its page: the next writing leaves it out.
-        val job = jobs(stored.jobId) ?: return
+        val job = sliceState.jobs[stored.jobId] ?: return null
         if (stored.first !in 0 until job.spec.taskCount) throw MalformedException("first is out of range")
-        page.add(job.chunkOf(stored.first))
+        return stored
+    }
+
+    private fun isDividedOtherwise(chunks: List<ProgressPage.StoredChunk>, chunkSizes: Map<String, Int>): Boolean = chunks.any { stored ->
+        val chunk = sliceState.jobs.getValue(stored.jobId).chunkOf(stored.first)
+        chunk.page != null || chunk.first != stored.first || chunk.size != tasksOf(stored, chunkSizes).count()
+    }
+
+    /** The tasks that the chunk speaks for. */
+    private fun tasksOf(stored: ProgressPage.StoredChunk, chunkSizes: Map<String, Int>): IntRange {
+        val taskCount = sliceState.jobs.getValue(stored.jobId).spec.taskCount
+        val size = stored.size ?: chunkSizes[stored.jobId] ?: taskCount
+        return stored.first until minOf(taskCount, stored.first + size)
+    }
+
+    private fun load(
+        stored: ProgressPage.StoredChunk,
+        page: ProgressPage,
+        divided: Boolean,
+        chunkSizes: Map<String, Int>,
+        known: MutableMap<Job, BitSet>,
+        place: (Job, ProgressPage.Stored) -> Unit,
+    ) {
+        val job = sliceState.jobs.getValue(stored.jobId)
+        val tasks = tasksOf(stored, chunkSizes)
+        if (divided) tasks.mapTo(LinkedHashSet()) { job.chunkOf(it) }.forEach { retirement.supersede(page, it) } else page.add(job.chunkOf(stored.first))
+        // What is done stays done, whichever copy says so.
         stored.done.stream().forEach { if (stored.first + it < job.spec.taskCount) job.markDone(stored.first + it) }
-        stored.on.forEach { if (it.task in 0 until job.spec.taskCount) place(job, it) }
+        val newer = known.getOrPut(job) { BitSet() }
+        stored.on.forEach { if (it.task in 0 until job.spec.taskCount && !newer.get(it.task)) place(job, it) }
+        newer.set(tasks.first, tasks.last + 1)
         sliceState.changed.add(job)
     }
 
@@ -87,8 +138,9 @@
         sliceState.changed.clear()
         if (!sliceState.fresh()) return
         endJobs()
+        retirement.clear(pages, slice)
         for (page in pages) {
-            if (page.dirtySince == 0L || page.writing) continue
+            if (page.dirtySince == 0L || page.writing || now < page.refusedUntil) continue
             if (page.urgent) {
                 // Not to the last change that is allowed: an acceptance, whose user waits, takes one and should find it.
                 if (out.writeFullness() > FULL_ENOUGH_TO_PLACE) store(page, WritePriority.PROMPT)
@@ -109,7 +161,7 @@
         val path = Keys.page(slice, page.index)
         val pending = page.chunks.flatMap { chunk -> chunk.placements.values.filter { !it.committed } }
         // Each job that is placed anew is a condition, and a transaction takes only so many.
-        val jobs = pending.mapTo(LinkedHashSet()) { it.job }.take(sliceState.settings.stateLimits.opsPerCommit * 3)
+        val jobs = pending.mapTo(LinkedHashSet()) { it.job }.take(sliceState.limits.target.opsPerCommit * GUARDED_JOBS_PER_CHANGE)
         val included = pending.filter { it.job in jobs }
         val left = pending.filterTo(HashSet()) { it.job !in jobs }
         page.chunks.forEach { it.dirty = false }
@@ -121,7 +173,7 @@
         guards.add(Guard(path, page.version))
         jobs.mapTo(guards) { Guard(Keys.live(slice, it.spec.jobId), it.version) }
         out.commit(
-            Change(guards, listOf(Write.Put(path, page.toFields(left))), writePriority) { outcome ->
+            Change(guards, listOf(Write.Put(path, page.toFields(left, sized = sliceState.limits.isLowered))), writePriority) { outcome ->
                 page.writing = false
                 if (sliceState.dropped) return@Change
                 when (outcome) {
@@ -137,6 +189,7 @@
 
                     is Outcome.Refused -> {
                         log.error("{}: the state service refuses it: {}", path, outcome.reason)
+                        page.refusedUntil = sliceState.clock.now() + REREAD_MS
                         again(page)
                         included.forEach {
                             it.job.notBefore = sliceState.clock.now() + REFUSED_MS
@@ -232,6 +285,9 @@
 
     private companion object {
         const val LAZY_MS = 700L
+
+        /** Jobs that are placed anew by one put are conditions of it, of which a transaction takes four for each change. */
+        const val GUARDED_JOBS_PER_CHANGE = 3
         const val FULL_ENOUGH = 0.5
         const val FULL_ENOUGH_TO_PLACE = 0.25
         const val MAX_ENDINGS = 64
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -16,7 +16,9 @@
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.wire.MachineType
+import io.reedmast.wire.MalformedException
 import io.reedmast.wire.Order
 import io.reedmast.wire.Report
 import io.reedmast.workers.Commands
@@ -66,13 +68,14 @@
     tuning: Tuning,
     private val clock: Clock,
     private val out: Gateway,
+    private val limits: LimitsInForce,
     machineTypes: () -> Collection<MachineType>,
     fresh: () -> Boolean,
     private val records: SliceRecords,
 ) {
     private val log = LoggerFactory.getLogger("slice")
     private val slice = index.value
-    val sliceState = SliceState(index, settings, tuning, clock, machineTypes, fresh)
+    val sliceState = SliceState(index, settings, tuning, clock, machineTypes, fresh, limits)
     private val commands = Commands(sliceState, out) { machine, report -> reports.answered(machine, report) }
     private val gangs = GangCoordinator(sliceState, commands)
     private val reports: Reports = Reports(sliceState, commands, gangs) { records.renewToken(index) }
@@ -95,6 +98,9 @@
     /** The token that answers to this machine's reports carry. */
     fun tokenFor(host: String): Long = sliceState.machines[host]?.let { sliceState.tokenFor(it) } ?: sliceState.token
 
+    /** Whether it holds progress in parts that the lowered limits do not allow, read before these were known to hold. */
+    val needsReload: Boolean get() = active && !dropped && progressStore.needsReload
+
     val active: Boolean get() = sliceState.active
 
     /** Set when another owner has taken the slice: answers that still come in are ignored. */
@@ -108,10 +114,12 @@
 
     /** Reads what is stored of the slice: [pages] were listed, and [live] is at least as new, after our token was stored. */
     fun load(live: List<LiveJob>, pages: List<Item>, totals: Item?) {
+        if (pages.any { isSized(it) }) limits.lower()
         syncHosts()
         totals?.let { totalsWriter.load(it) }
         live.forEach { addJob(it) }
-        progressStore.load(pages, { sliceState.jobs[it] }) { job, stored ->
+        val chunkSizes = live.associate { it.record.spec.jobId to it.record.chunkSize }
+        progressStore.load(pages, chunkSizes) { job, stored ->
             val placement = Placement(job, stored.task, stored.attempt, machineFor(stored.host), clock.now())
             placement.committed = true
             sliceState.place(placement)
@@ -127,6 +135,14 @@
         log.info("slice {}: took over under token {}: {} jobs, {} machines", slice, token, sliceState.jobs.size, sliceState.machines.size)
     }
 
+    /** Only what knows that every controller reads such pages stores them. */
+    private fun isSized(page: Item) = try {
+        ProgressPage.isSized(page.value)
+    } catch (e: MalformedException) {
+        // Reported where the page's content is read.
+        false
+    }
+
     /** A job that has got nothing so far has waited since its acceptance, whoever owned the slice: else each takeover prolongs its wait. */
     private fun countWaitFromAcceptance(job: Job) {
         if (job.placedCount > 0 || job.doneCount > 0) return
@@ -212,7 +228,7 @@
             log.error("{}: its team {} is not in the settings", spec.jobId, spec.teamName)
             return null
         }
-        val job = Job(spec, team, live.record.chunkSize, live.record.acceptedAtMs, live.version).apply { aborted = live.record.aborted }
+        val job = Job(spec, team, chunkSizeOf(live.record), live.record.acceptedAtMs, live.version).apply { aborted = live.record.aborted }
         sliceState.jobs[spec.jobId] = job
         sliceState.changed.add(job)
         job.waitsSince = clock.now()
@@ -230,6 +246,10 @@
         return job
     }
 
+    /** An earlier version stored progress in chunks that the lowered limits do not allow. */
+    private fun chunkSizeOf(record: LiveRecord) =
+        if (limits.isLowered) minOf(record.chunkSize, ProgressPage.chunkSizeFor(limits.target.valueBytes)) else record.chunkSize
+
     /** The record of the job is gone. What still runs of it, if anything could, is stopped. */
     fun jobGone(jobId: String) {
         val job = sliceState.jobs[jobId] ?: return
--- a/src/main/kotlin/io/reedmast/jobs/SliceState.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceState.kt
@@ -9,6 +9,7 @@
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Guard
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.MachineType
 import io.reedmast.workers.Machine
@@ -27,6 +28,7 @@
     private val machineTypeList: () -> Collection<MachineType>,
     /** Whether this node has lately heard enough from the state service to act. */
     val fresh: () -> Boolean,
+    val limits: LimitsInForce = LimitsInForce(settings.stateLimits, settings.nextStateLimits),
 ) {
     var token = 0L
     var term = 0L
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -13,6 +13,7 @@
 import io.reedmast.state.Fetched
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.Unreadable
 import io.reedmast.wire.Fields
 import io.reedmast.wire.MachineType
@@ -31,6 +32,7 @@
     private val tuning: Tuning,
     private val clock: Clock,
     private val out: Gateway,
+    private val limits: LimitsInForce,
     private val machineTypes: () -> Collection<MachineType>,
     /** Names this process; never used by another one. */
     incarnation: String,
@@ -46,11 +48,13 @@
     val freshness = Freshness(clock, settings.workers)
     private val membership = Membership(settings, clock, out)
     private val slices = SliceTable(settings.slices, out, ::sliceChanged)
-    private val machines = MachineTable(settings, clock, out, { owners[it.value]?.syncHosts() }, hostDirectory::forget)
+    private val machines = MachineTable(settings, clock, out, limits, { owners[it.value]?.syncHosts() }, hostDirectory::forget)
     private val contact = WorkerContact(clock, out)
-    private val assignment = MachineAssignment(settings, out, slices, machines, { membership.leaderVersion }, ::reread)
+    private val assignment = MachineAssignment(settings, out, limits, slices, machines, { membership.leaderVersion }, ::reread)
     private val takeover =
         Takeover(settings, clock, out, freshness, membership, slices, machines, jobs, hostDirectory, contact, owners, ::newOwner) { reread(it) }
+    private val upgrade = UpgradeTracker(settings, out, limits)
+    private var sharedLowered = false
     private val peerStatuses = PeerStatuses(settings.self, settings.members.size, incarnation)
     private var statusQueryDue = 0L
 
@@ -58,7 +62,7 @@
     val leading: Boolean get() = membership.leading
     val records: Array<StoredRecord?> get() = slices.records
 
-    private fun newOwner(slice: SliceIndex) = SliceOwner(slice, settings, tuning, clock, out, machineTypes, ::fresh, this)
+    private fun newOwner(slice: SliceIndex) = SliceOwner(slice, settings, tuning, clock, out, limits, machineTypes, ::fresh, this)
 
     /** Whether this node has lately heard enough from the state service to decide anything. */
     fun fresh(): Boolean = freshness.isFresh
@@ -138,6 +142,7 @@
     private fun see(path: String, value: Fields?, version: Long) {
         try {
             membership.see(path, value, version)
+            upgrade.see(path, value)
             slices.see(path, value, version)
             machines.see(path, value, version)
         } catch (e: MalformedException) {
@@ -182,13 +187,26 @@
         machines.tick(now)
         if (fresh()) {
             membership.claimKeys()
+            upgrade.tick()
             takeover.tick(now)
+            divideForLoweredLimits()
         } else {
             takeover.outOfTouch(now)
         }
         owned().forEach { it.tick() }
     }
 
+    /** Once no earlier version reads the records any more, what is too large for the lowered limits is stored anew in smaller parts. */
+    private fun divideForLoweredLimits() {
+        if (!limits.isLowered) return
+        if (!sharedLowered) membership.shareLimits()
+        sharedLowered = true
+        for (owner in owned()) {
+            if (owner.needsReload) takeover.reload(owner.index)
+            assignment.divideOversized(owner.index)
+        }
+    }
+
     fun pump() = owned().forEach { it.pump() }
 
     // ---- other controllers --------------------------------------------------------------------------------------------
--- a/src/main/kotlin/io/reedmast/ownership/MachineAssignment.kt
+++ b/src/main/kotlin/io/reedmast/ownership/MachineAssignment.kt
@@ -6,6 +6,7 @@
 import io.reedmast.state.Change
 import io.reedmast.state.Guard
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.Outcome
 import io.reedmast.state.Write
 import io.reedmast.state.WritePriority
@@ -22,6 +23,7 @@
 class MachineAssignment(
     private val settings: Settings,
     private val out: Gateway,
+    private val limits: LimitsInForce,
     private val slices: SliceTable,
     private val machines: MachineTable,
     private val leaderVersion: () -> Long,
@@ -49,10 +51,11 @@
         val to = hosts.firstNotNullOfOrNull { held.part.leaving[it] }?.let { SliceIndex(it) } ?: return
         val target = slices.records.getOrNull(to.value) ?: return
         if (to == slice) return
-        val moving = held.part.hosts.filter { it.name in hosts && held.part.leaving[it.name] == to.value }
+        val divided = namedTwice(slice)
+        val moving = held.part.hosts.filter { it.name in hosts && it.name !in divided && held.part.leaving[it.name] == to.value }
         val destination = machines.roomIn(to, moving)
         val moved = moving.filter { destination.part.holds(it.name) }.mapTo(HashSet()) { it.name }
-        if (moved.isEmpty()) return
+        if (moved.isEmpty() || !isStorable(held.part.without(moved))) return
         val source = Source(slice, index, held, from)
         move(source, held.part.without(moved), to, target, destination, moved)
     }
@@ -130,11 +133,47 @@
             if (mine.isEmpty()) continue
             var marks = mine.size
             fun marked() = held.part.copy(leaving = held.part.leaving + mine.take(marks).associate { it.name to to.value })
-            while (marks > 0 && Tree.jsonSize(marked().toFields()) > settings.stateLimits.valueBytes * MARKED) marks /= 2
+            while (marks > 0 && Tree.jsonSize(marked().toFields()) > limits.allowed.valueBytes * MARKED) marks /= 2
             if (marks > 0) rewrite(slice, index, marked(), Guard(Keys.LEADER, leaderVersion())) {}
         }
     }
 
+    /** Whether the state service takes the record; one that an earlier version stored may be too large until it has been divided. */
+    private fun isStorable(part: HostPart) = Tree.jsonSize(part.toFields()) <= limits.allowed.valueBytes * MARKED
+
+    /** Machines that stand in two records of a slice, one of which is being divided. */
+    private fun namedTwice(slice: SliceIndex): Set<String> {
+        val names = HashSet<String>()
+        return machines.partsOf(slice).values.flatMap { it.part.hosts }.map { it.name }.filterTo(HashSet()) { !names.add(it) }
+    }
+
+    /**
+     * The owner divides records of machines that are larger than the lowered limits allow, a step at each call.
+     *
+     * A record that is too large can only be replaced by a small one, so its machines are first copied to new records, one
+     * transaction each, with the old record's version as a condition. They stand in two records of the same slice then, which is
+     * harmless wherever it ends, and do not move until the old record has been cut down to what no other one names.
+     */
+    fun divideOversized(slice: SliceIndex) {
+        val term = slices.records[slice.value]?.takeIf { it.record.owner == settings.label }?.version ?: return
+        val entitled = Guard(Keys.slice(slice.value), term)
+        val parts = machines.partsOf(slice)
+        val bytes = limits.target.valueBytes
+        for ((index, held) in parts) {
+            if (Tree.jsonSize(held.part.toFields()) <= bytes * MARKED) continue
+            val elsewhere = parts.filterKeys { it != index }.values.flatMapTo(HashSet()) { it.part.hosts.map { host -> host.name } }
+            val rest = held.part.without(elsewhere)
+            if (rest.fits(bytes)) {
+                rewrite(slice, index, rest, entitled) {}
+            } else {
+                val copied = HostPart.EMPTY.with(rest.hosts, bytes).let { part -> part.copy(leaving = rest.leaving.filterKeys { part.holds(it) }) }
+                val unchanged = Guard(Keys.hosts(slice.value, index), held.version)
+                rewrite(slice, parts.keys.max() + 1, copied, entitled, StoredPart(HostPart.EMPTY, 0L), listOf(unchanged)) {}
+            }
+            return
+        }
+    }
+
     private fun rewrite(
         slice: SliceIndex,
         index: Int,
@@ -147,7 +186,7 @@
         done: (Boolean) -> Unit,
     ) {
         val path = Keys.hosts(slice.value, index)
-        if (held == null || !writing.add(path)) {
+        if (held == null || !isStorable(part) || !writing.add(path)) {
             done(false)
             return
         }
--- a/src/main/kotlin/io/reedmast/ownership/MachineTable.kt
+++ b/src/main/kotlin/io/reedmast/ownership/MachineTable.kt
@@ -5,6 +5,7 @@
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.wire.Fields
 import io.reedmast.workers.HostRecord
 import java.util.TreeMap
@@ -17,6 +18,7 @@
     private val settings: Settings,
     private val clock: Clock,
     private val out: Gateway,
+    private val limits: LimitsInForce,
     /** Called when the machines of a slice have changed. */
     private val onChange: (SliceIndex) -> Unit,
     /** Called when a machine has left all slices. */
@@ -92,7 +94,7 @@
 
     /** The first record of the slice's machines, or a new one, that has room for some of [hosts], with them in it. */
     fun roomIn(slice: SliceIndex, hosts: List<HostRecord>): Grown {
-        val bytes = settings.stateLimits.valueBytes
+        val bytes = limits.target.valueBytes
         for ((index, held) in parts[slice.value]) {
             val grown = held.part.with(hosts, bytes)
             if (grown.hosts.size > held.part.hosts.size) return Grown(index, held, grown)
--- a/src/main/kotlin/io/reedmast/ownership/Membership.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Membership.kt
@@ -155,7 +155,7 @@
     private fun putNode(held: Long, version: Long) {
         val path = Keys.node(settings.label)
         out.commit(
-            Change(listOf(Guard(path, version)), listOf(Write.Put(path, mapOf("label" to settings.label), held))) { outcome ->
+            Change(listOf(Guard(path, version)), listOf(Write.Put(path, UpgradeTracker.memberFields(settings.label), held))) { outcome ->
                 claimingNode = false
                 when (outcome) {
                     is Outcome.Applied -> nodeKeyLease = held
--- a/src/main/kotlin/io/reedmast/ownership/Takeover.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Takeover.kt
@@ -175,6 +175,13 @@
         take(slice)
     }
 
+    /** Takes a slice of this node's again, to read what is stored of it in smaller parts. */
+    fun reload(slice: SliceIndex) {
+        if (clock.now() <= notBefore[slice.value]) return
+        log.info("slice {}: read again, to be stored in smaller parts", slice.value)
+        take(slice)
+    }
+
     private fun take(slice: SliceIndex) {
         if (taking[slice.value] || claim != null) return
         taking[slice.value] = true
--- a/src/main/kotlin/io/reedmast/settings/Settings.kt
+++ b/src/main/kotlin/io/reedmast/settings/Settings.kt
@@ -58,6 +58,8 @@
     val objectives: List<Objective>,
     val workers: WorkerRules,
     val stateLimits: StateLimits,
+    /** What the state service will allow from some moment after an upgrade, which it does not announce. */
+    val nextStateLimits: StateLimits?,
     val cloudLimits: CloudLimits,
     val maxConnections: Int,
 ) {
@@ -128,6 +130,7 @@
                         positive(state, "txn_ops").toInt(),
                     )
                 }
+            val nextStateLimits = if (state["next"] == null) null else at("facts.state.") { state.map("next") }.let { nextLimits(it, stateLimits) }
             if (stateLimits.opsPerCommit < 4) throw SettingsException("facts.state.txn_ops must be at least 4")
             val cloud = at("facts.") { facts.map("cloud") }
             val cloudLimits = at("facts.cloud.") { CloudLimits(positive(cloud, "rps"), cloud.amount("list_lag_s")) }
@@ -145,11 +148,23 @@
                 objectives = objectives(facts),
                 workers = rules,
                 stateLimits = stateLimits,
+                nextStateLimits = nextStateLimits,
                 cloudLimits = cloudLimits,
                 maxConnections = connections.toInt(),
             )
         }
 
+        /** A limit that is not named stays as it is. */
+        private fun nextLimits(next: Fields, now: StateLimits): StateLimits = at("facts.state.next.") {
+            fun limit(name: String) = if (next[name] == null) null else positive(next, name)
+            StateLimits(
+                limit("rps") ?: now.requestsPerS,
+                limit("write_rps") ?: now.writesPerS,
+                limit("value_kb")?.let { (it * 1024).toInt() } ?: now.valueBytes,
+                limit("txn_ops")?.toInt() ?: now.opsPerCommit,
+            )
+        }
+
         private fun Fields.list(name: String): List<Any?> = this[name] as? List<*> ?: throw MalformedException("$name is missing or not a list")
 
         private fun Fields.optionalAmountOr(name: String, other: Double): Double = at("facts.resources.") { optionalAmount(name) ?: other }
--- a/src/main/kotlin/io/reedmast/state/Change.kt
+++ b/src/main/kotlin/io/reedmast/state/Change.kt
@@ -2,6 +2,7 @@
 
 import io.reedmast.wire.Fields
 import io.reedmast.wire.StateMessages
+import io.reedmast.wire.Tree
 
 /** The condition that a key still has this version; 0: that it does not exist. */
 data class Guard(val path: String, val version: Long)
@@ -9,7 +10,10 @@
 sealed interface Write {
     val path: String
 
-    data class Put(override val path: String, val value: Fields, val lease: Long? = null) : Write
+    data class Put(override val path: String, val value: Fields, val lease: Long? = null) : Write {
+        /** What the state service counts the value by, with the id of its transaction. */
+        fun storedSize(transactionId: String): Int = Tree.jsonSize(StateMessages.stored(value, transactionId))
+    }
 
     data class Delete(override val path: String) : Write
 }
@@ -67,6 +71,9 @@
     const val CLUSTER = "c/"
     const val LEADER = "c/leader"
     const val TOKEN = "c/token"
+
+    /** The format that every controller reads. */
+    const val FORMAT = "c/format"
     const val NODES = "c/node/"
     const val SLICES = "c/slice/"
     const val HOSTS = "c/hosts/"
--- a/src/main/kotlin/io/reedmast/state/Committer.kt
+++ b/src/main/kotlin/io/reedmast/state/Committer.kt
@@ -1,6 +1,5 @@
 package io.reedmast.state
 
-import io.reedmast.settings.StateLimits
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ThreadLocalRandom
 
@@ -11,14 +10,14 @@
  */
 class Committer(
     private val client: StateClient,
-    limits: StateLimits,
+    private val limits: LimitsInForce,
     maxQueued: Int,
     private val ids: TransactionIds,
     private val deliver: (Change, Outcome) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("state")
     private val lock = Object()
-    private val queue = CommitQueue(limits, client.budget, maxQueued) { System.nanoTime() / 1_000_000 }
+    private val queue = CommitQueue(limits.target, client.budget, maxQueued) { System.nanoTime() / 1_000_000 }
 
     @Volatile
     private var lastAnswered = true
@@ -80,6 +79,10 @@
             CommitReply.Unknown
         }
         lastAnswered = reply !is CommitReply.NotExecuted && reply !is CommitReply.Unknown
+        if (reply is CommitReply.Bad && limits.onlyFormerlyAllowed(transaction)) {
+            log.info("the state service refuses what it used to take: its limits have been lowered")
+            limits.lower()
+        }
         // Sent again hot, it would only keep the limit exceeded.
         if (reply is CommitReply.Limited) client.budget.empty()
         return reply
--- a/src/main/kotlin/io/reedmast/state/StateClient.kt
+++ b/src/main/kotlin/io/reedmast/state/StateClient.kt
@@ -1,7 +1,6 @@
 package io.reedmast.state
 
 import com.google.common.util.concurrent.RateLimiter
-import io.reedmast.settings.StateLimits
 import io.reedmast.wire.Caller
 import io.reedmast.wire.Fields
 import io.reedmast.wire.KeyedValue
@@ -42,15 +41,15 @@
 }
 
 /** Blocking calls to the state service, kept within this node's part of its limits. */
-class StateClient(private val address: String, private val limits: StateLimits, nodes: Int, private val caller: Caller) {
+class StateClient(private val address: String, private val limits: LimitsInForce, nodes: Int, private val caller: Caller) {
     private val log = LoggerFactory.getLogger("state")
-    private val requests = RateLimiter.create(limits.requestsPerS * SAFETY / nodes)
-    val budget = WriteBudget(limits.writesPerS * SAFETY / nodes) { System.nanoTime() / 1_000_000 }
+    private val requests = RateLimiter.create(limits.allowed.requestsPerS * SAFETY / nodes)
+    val budget = WriteBudget(limits.allowed.writesPerS * SAFETY / nodes) { System.nanoTime() / 1_000_000 }
 
     /** Nodes that are down leave their part of the limits to the others. */
     fun shareAmong(nodes: Int) {
-        requests.rate = limits.requestsPerS * SAFETY / nodes
-        budget.setRate(limits.writesPerS * SAFETY / nodes)
+        requests.rate = limits.allowed.requestsPerS * SAFETY / nodes
+        budget.setRate(limits.allowed.writesPerS * SAFETY / nodes)
     }
 
     fun get(path: String): Fetched {
--- a/src/test/kotlin/io/reedmast/CountedWorkTest.kt
+++ b/src/test/kotlin/io/reedmast/CountedWorkTest.kt
@@ -39,6 +39,7 @@
         objectives = emptyList(),
         workers = WorkerRules(3.0, 16.0, 41.0),
         stateLimits = StateLimits(150.0, 50.0, valueBytes, 16),
+        nextStateLimits = null,
         cloudLimits = CloudLimits(2.0, 5.0),
         maxConnections = 1000,
     )
--- a/src/test/kotlin/io/reedmast/SocketTest.kt
+++ b/src/test/kotlin/io/reedmast/SocketTest.kt
@@ -15,6 +15,7 @@
 import io.reedmast.ports.Clock
 import io.reedmast.settings.Settings
 import io.reedmast.settings.Tuning
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.StateClient
 import io.reedmast.wire.Caller
 import io.reedmast.wire.Fields
@@ -92,10 +93,11 @@
             .replace("18393", backend.address.port.toString()).replace("18394", backend.address.port.toString())
         val settings = Settings.parse(Tree.readJson(text.toByteArray()))
         val eventLoop = EventLoop(SystemClock, 100)
-        val client = StateClient(settings.state, settings.stateLimits, 1, Caller(500, 1000))
-        val out = NetworkGateway(settings, eventLoop, client, "test")
+        val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits)
+        val client = StateClient(settings.state, limits, 1, Caller(500, 1000))
+        val out = NetworkGateway(settings, eventLoop, client, limits, "test")
         val timings = Timings(SystemClock)
-        val node = Node(eventLoop, Controller(settings, Tuning(), SystemClock, out, "test"), timings)
+        val node = Node(eventLoop, Controller(settings, Tuning(), SystemClock, out, limits, "test"), timings)
         HttpApi(settings, node, timings).start()
         out.start()
         Watches(client, SystemClock, node).start()
--- a/src/test/kotlin/io/reedmast/ownership/TakeoverTest.kt
+++ b/src/test/kotlin/io/reedmast/ownership/TakeoverTest.kt
@@ -15,6 +15,7 @@
 import io.reedmast.state.Change
 import io.reedmast.state.Event
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.Outcome
 import io.reedmast.state.Write
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -42,11 +43,12 @@
         objectives = emptyList(),
         workers = WorkerRules(3.0, 16.0, 41.0),
         stateLimits = StateLimits(100.0, 50.0, 8192, 16),
+        nextStateLimits = null,
         cloudLimits = CloudLimits(2.0, 5.0),
         maxConnections = 100,
     )
     private val out = RecordingGateway()
-    private val cluster = Cluster(settings, Tuning(), clock, out, { emptyList() }, "n0-1")
+    private val cluster = Cluster(settings, Tuning(), clock, out, LimitsInForce(settings.stateLimits), { emptyList() }, "n0-1")
     private val key = Keys.slice(0)
 
     private fun take(): Change = out.commits.first { change -> change.writes.any { it.path == key } }
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -19,7 +19,7 @@
 
 /**
  * Plays a day in the stand-in world. A line is `at SECONDS VERB ARGUMENTS`, in order of time; before them
- * `nodes N`, `value-kb N`, `team NAME CPUS MAX`, `machine-type NAME CPUS BOOT_S`, `machine TYPE ZONE [spot]`,
+ * `nodes N`, `value-kb N`, `next-limits VALUE_KB TXN_OPS`, `old NODES`, `team NAME CPUS MAX`, `machine-type NAME CPUS BOOT_S`, `machine TYPE ZONE [spot]`,
  * `machines N TYPE ZONE [spot]`, `capacity N`, `seed N`, `limits WRITES_PER_S PAGE_ITEMS KEPT_CHANGES`. The rules of the protocol, with those that its users added, are checked throughout; `expect` lines say what else
  * must hold.
  */
@@ -28,6 +28,7 @@
     private val teams = given("team").map { TeamShare(it[1], it[2].toDouble(), it[3].toDouble(), 0.0, 0.0) }
     private val nodes = given("nodes").firstOrNull()?.get(1)?.toInt() ?: 3
     private val valueBytes = ((given("value-kb").firstOrNull()?.get(1)?.toDouble() ?: 8.0) * 1024).toInt()
+    private val nextLimits = given("next-limits").firstOrNull()?.let { StateLimits(100.0, 50.0, (it[1].toDouble() * 1024).toInt(), it[2].toInt()) }
     private val machineTypes = given("machine-type").map {
         MachineType(it[1], it[2].toDouble(), 0.0, 64.0, 50.0, 0.5, 1.0, 0.3, it[3].toDouble(), listOf("x", "y"))
     }
@@ -51,6 +52,7 @@
         objectives = emptyList<Objective>(),
         workers = WorkerRules(3.0, 16.0, 41.0),
         stateLimits = StateLimits(100.0, 50.0, valueBytes, 16),
+        nextStateLimits = nextLimits,
         cloudLimits = CloudLimits(2.0, 5.0),
         maxConnections = 1000,
     )
@@ -60,6 +62,7 @@
         given("machine").forEach { world.addWorker(it[1], it[2], "spot" in it, 0) }
         given("machines").forEach { words -> repeat(words[1].toInt()) { world.addWorker(words[2], words[3], "spot" in words, 0) } }
         given("limits").forEach { limit(it[1].toDouble(), it[2].toInt(), it[3].toInt()) }
+        given("old").flatMap { it.drop(1) }.forEach { label -> world.nodes.first { it.label == label }.old = true }
         world.nodes.forEach { it.start() }
         given("seed").forEach { world.random = Random(it[1].toLong()) }
         checkRules()
@@ -146,6 +149,15 @@
             }
             "crash" -> words.drop(1).forEach { label -> world.nodes.first { it.label == label }.crash() }
             "start" -> words.drop(1).forEach { label -> world.nodes.first { it.label == label }.start() }
+            // The node's process ends; what is started next has the new version.
+            "upgrade" -> words.drop(1).forEach { label ->
+                world.nodes.first { it.label == label }.run {
+                    crash()
+                    old = false
+                }
+            }
+            // The state service takes less from now on, without a word.
+            "lower-limits" -> world.state.lowered = nextLimits ?: error("no next-limits are given")
             "outage" -> world.state.outage((words[1].toDouble() * 1000).toLong())
             "cut-state" -> world.nodes.first { it.label == words[1] }.stateCut = words[2] == "on"
             "cut-workers" -> world.nodes.first { it.label == words[1] }.workersCut = words[2] == "on"
--- a/src/test/kotlin/io/reedmast/sim/SimGateway.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimGateway.kt
@@ -11,10 +11,13 @@
 import io.reedmast.state.CommitReply
 import io.reedmast.state.Fetched
 import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.Settlement
 import io.reedmast.state.Step
 import io.reedmast.state.Transaction
 import io.reedmast.state.TransactionIds
+import io.reedmast.state.Write
 import io.reedmast.state.WriteBudget
 import io.reedmast.wire.ListedHost
 import io.reedmast.wire.MachineType
@@ -23,11 +26,12 @@
 import kotlin.random.Random
 
 /** All I/O of one process of a [SimNode], its life number [life]: what it gets back depends on the world's troubles. */
-class SimGateway(private val world: World, private val node: SimNode, private val life: Int, incarnation: String) : Gateway {
+class SimGateway(private val world: World, private val node: SimNode, private val life: Int, private val limits: LimitsInForce, incarnation: String) :
+    Gateway {
     private val state get() = world.state
     private val slow get() = world.stateSlow
     private val budget = WriteBudget(world.writesPerS, world::now)
-    private val queue = CommitQueue(world.settings.stateLimits, budget, MAX_SUBMISSIONS_QUEUED, world::now)
+    private val queue = CommitQueue(limits.target, budget, MAX_SUBMISSIONS_QUEUED, world::now)
     private val ids = TransactionIds(incarnation)
     private val jitter = Random(life * 31 + node.index)
     private var idleCommitters = COMMITTERS
@@ -46,11 +50,19 @@
     // ---- the state service --------------------------------------------------------------------------------------------
 
     override fun commit(change: Change, refusable: Boolean): Boolean {
-        if (!queue.offer(change, refusable)) return false
+        if (node.old && change.writes.any { it.path == Keys.FORMAT }) return true
+        if (!queue.offer(if (node.old) withoutFormat(change) else change, refusable)) return false
         drain()
         return true
     }
 
+    private fun withoutFormat(change: Change) = Change(
+        change.guards,
+        change.writes.map { if (it is Write.Put) it.copy(value = it.value - "format") else it },
+        change.writePriority,
+        change.done,
+    )
+
     private fun drain() {
         while (idleCommitters > 0) {
             when (val polled = queue.poll()) {
@@ -81,6 +93,7 @@
                 if (node.life == life) {
                     send(step.transaction) {
                         stateAnswers = it !is CommitReply.NotExecuted && it !is CommitReply.Unknown
+                        if (it is CommitReply.Bad && limits.onlyFormerlyAllowed(step.transaction)) limits.lower()
                         if (it is CommitReply.Limited) budget.empty()
                         settlement.replied(it)
                         settle(settlement)
--- a/src/test/kotlin/io/reedmast/sim/SimNode.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimNode.kt
@@ -4,6 +4,8 @@
 import io.reedmast.peers.PeerMessage
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
+import io.reedmast.wire.Fields
 import io.reedmast.wire.UserAnswer
 
 /** One controller of the [World]; [up] and the cuts say what reaches it. */
@@ -26,6 +28,12 @@
     /** The next transaction that writes a key with this in its name is applied at once, and its answer lost. */
     var loseAnswerOf: String? = null
     var life = 0
+
+    /**
+     * The process has the version before lowered limits and formats: it knows only the limits of today, names no format of its own
+     * and does not see what others name.
+     */
+    var old = false
     var controller: Controller? = null
 
     /** The watch on jobs answers this much later than it could. */
@@ -55,7 +63,9 @@
         standsUntil = 0L
         loaded = false
         val incarnation = "$label-$life"
-        controller = Controller(world.settingsOf(index), world.tuning, world, SimGateway(world, this, life, incarnation), incarnation)
+        val settings = world.settingsOf(index).let { if (old) it.copy(nextStateLimits = null) else it }
+        val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits)
+        controller = Controller(settings, world.tuning, world, SimGateway(world, this, life, limits, incarnation), limits, incarnation)
         tick(life)
         watch(life)
     }
@@ -96,7 +106,7 @@
                     loaded = true
                     watchedTo = clusterRevision
                     jobsWatchedTo = jobsRevision
-                    c.cluster.snapshot(cluster, clusterRevision, askedAt)
+                    c.cluster.snapshot(cluster.filter { it.path != Keys.FORMAT || !old }.map { it.copy(value = visible(it.value)) }, clusterRevision, askedAt)
                     c.cluster.jobsSnapshot(jobs, jobsRevision, jobsAskedAt)
                 }
                 done()
@@ -104,6 +114,8 @@
         }
     }
 
+    private fun visible(value: Fields): Fields = if (old) value - "format" else value
+
     private fun follow(c: Controller) {
         val state = world.state
         val news = state.since(watchedTo)
@@ -112,7 +124,8 @@
             return
         }
         watchedTo = state.revision
-        c.cluster.clusterEvents(news.filter { it.path.startsWith(Keys.CLUSTER) }, watchedTo, world.now())
+        val clusterNews = news.filter { it.path.startsWith(Keys.CLUSTER) && !(old && it.path == Keys.FORMAT) }
+        c.cluster.clusterEvents(clusterNews.map { it.copy(value = it.value?.let(::visible)) }, watchedTo, world.now())
         if (world.now() < jobsDue) return
         val jobNews = state.since(jobsWatchedTo)
         if (jobNews == null) {
--- a/src/test/kotlin/io/reedmast/sim/SimState.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -2,10 +2,12 @@
 
 import io.reedmast.jobs.ProgressPage
 import io.reedmast.ownership.HostPart
+import io.reedmast.settings.StateLimits
 import io.reedmast.state.CommitReply
 import io.reedmast.state.Event
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.Transaction
 import io.reedmast.state.Write
 import io.reedmast.wire.Fields
@@ -94,7 +96,11 @@
         log.add(Event(path, value, revision))
     }
 
-    /** What the service would not take is a mistake of ours, whatever becomes of it. */
+    /** The limits that hold instead of those in the settings, since some moment that nobody was told of. */
+    var lowered: StateLimits? = null
+    private val limits get() = lowered ?: world.settings.stateLimits
+
+    /** What the service never took is a mistake of ours, whatever becomes of it. */
     private fun checkLimits(transaction: Transaction) {
         val limits = world.settings.stateLimits
         if (transaction.writes.size > limits.opsPerCommit) world.rules.breach("${transaction.writes.size} changes in a transaction")
@@ -105,9 +111,14 @@
         }
     }
 
+    private fun isTooLarge(transaction: Transaction) = transaction.writes.size > limits.opsPerCommit ||
+        transaction.guards.size > limits.opsPerCommit * LimitsInForce.CONDITIONS_PER_CHANGE ||
+        transaction.writes.any { it is Write.Put && it.storedSize(transaction.id) > limits.valueBytes }
+
     fun commit(transaction: Transaction): CommitReply {
         expire()
         checkLimits(transaction)
+        if (isTooLarge(transaction)) return CommitReply.Bad("the value is too large")
         val failed = transaction.guards.filter { (entries[it.path]?.version ?: 0L) != it.version }.mapTo(HashSet()) { it.path }
         if (transaction.writes.any { it is Write.Put && it.lease != null && it.lease !in leases }) return CommitReply.Bad("no such lease")
         if (failed.isNotEmpty()) return CommitReply.Failed(failed)
--- a/src/test/kotlin/io/reedmast/state/CommitterTest.kt
+++ b/src/test/kotlin/io/reedmast/state/CommitterTest.kt
@@ -1,5 +1,6 @@
 package io.reedmast.state
 
+import io.reedmast.state.LimitsInForce
 import io.reedmast.state.StateServiceStub.Fate
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -23,7 +24,7 @@
     }
 
     private fun commit(changes: List<Change>, done: CountDownLatch) {
-        val committer = Committer(service.client, service.limits, 64, TransactionIds("test")) { change, outcome -> change.done(outcome) }
+        val committer = Committer(service.client, LimitsInForce(service.limits), 64, TransactionIds("test")) { change, outcome -> change.done(outcome) }
         changes.forEach { committer.offer(it, refusable = false) }
         Thread(committer::run).apply { isDaemon = true }.start()
         assertTrue(done.await(20, TimeUnit.SECONDS), "some changes are never settled")
--- a/src/test/kotlin/io/reedmast/state/StateServiceStub.kt
+++ b/src/test/kotlin/io/reedmast/state/StateServiceStub.kt
@@ -3,6 +3,7 @@
 import com.sun.net.httpserver.HttpExchange
 import com.sun.net.httpserver.HttpServer
 import io.reedmast.settings.StateLimits
+import io.reedmast.state.LimitsInForce
 import io.reedmast.wire.Caller
 import io.reedmast.wire.Fields
 import io.reedmast.wire.Tree
@@ -39,7 +40,7 @@
         server.executor = threads
         server.createContext("/", ::serve)
         server.start()
-        client = StateClient("127.0.0.1:${server.address.port}", limits, 1, Caller(connectMs = 500, readMs = 300))
+        client = StateClient("127.0.0.1:${server.address.port}", LimitsInForce(limits), 1, Caller(connectMs = 500, readMs = 300))
     }
 
     override fun close() {
--- a/src/test/kotlin/io/reedmast/workers/CommandsTest.kt
+++ b/src/test/kotlin/io/reedmast/workers/CommandsTest.kt
@@ -42,6 +42,7 @@
         objectives = emptyList(),
         workers = WorkerRules(3.0, 16.0, 41.0),
         stateLimits = StateLimits(100.0, 50.0, 8192, 16),
+        nextStateLimits = null,
         cloudLimits = CloudLimits(2.0, 5.0),
         maxConnections = 100,
     )
