--- /dev/null
+++ b/src/test/kotlin/io/reedmast/ProductionFormatTest.kt
@@ -0,0 +1,100 @@
+package io.reedmast
+
+import io.reedmast.fairshare.Usage
+import io.reedmast.fleet.SliceTotals
+import io.reedmast.jobs.EndRecord
+import io.reedmast.jobs.Job
+import io.reedmast.jobs.LiveRecord
+import io.reedmast.jobs.Placement
+import io.reedmast.jobs.ProgressPage
+import io.reedmast.ownership.HostPart
+import io.reedmast.ownership.SliceRecord
+import io.reedmast.peers.PeerCodec
+import io.reedmast.settings.SliceIndex
+import io.reedmast.settings.TeamIndex
+import io.reedmast.wire.Fields
+import io.reedmast.wire.JobShape
+import io.reedmast.wire.Tree
+import io.reedmast.wire.map
+import io.reedmast.wire.maps
+import io.reedmast.wire.text
+import io.reedmast.workers.HostRecord
+import io.reedmast.workers.Machine
+import okio.Buffer
+import okio.ByteString.Companion.decodeHex
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Test
+import java.nio.file.Files
+import java.nio.file.Path
+
+/**
+ * Records and frames that the version in production wrote (`writtenBy` in the file names its commit) are read as it meant them, and
+ * written again form for form: while both versions serve, each reads what the other has stored.
+ */
+class ProductionFormatTest {
+    private val records = Tree.readJson(Files.readAllBytes(Path.of("src/test/resources/production/records.json")))
+
+    private fun record(name: String): Fields = records.map(name)
+
+    /** As it comes back from the state service. */
+    private fun stored(fields: Fields): Fields = Tree.readCbor(Tree.writeCbor(fields))
+
+    private fun assertSameForm(name: String, written: Fields) = assertEquals(record(name), stored(written), name)
+
+    @Test
+    fun `records of slices, machines and jobs`() {
+        assertSameForm("slice", SliceRecord.parse(record("slice")).toFields())
+        assertSameForm("hosts", HostPart.parse(record("hosts")).toFields())
+        for (name in listOf("live-array", "live-service", "live-cancelled")) assertSameForm(name, LiveRecord.parse(record(name)).toFields())
+        for (name in listOf("end-done", "end-cancelled")) assertSameForm(name, EndRecord.parse(record(name)).toFields())
+        assertEquals(JobShape.SERVICE, LiveRecord.parse(record("live-service")).spec.shape)
+        assertEquals(JobShape.ARRAY, LiveRecord.parse(record("live-array")).spec.shape)
+    }
+
+    @Test
+    fun `totals of a slice`() {
+        val totals = SliceTotals.parse(SliceIndex(1), record("totals"))
+        val usage = Usage(SIX_HOURS_MS).apply { load(totals.usage) }
+        assertEquals(record("totals").map("usage"), stored(usage.toFields(listOf(TeamIndex(0), TeamIndex(3)))))
+        assertSameForm("totals", totals.within(VALUE_BYTES).toFields() + ("term" to record("totals")["term"]))
+    }
+
+    /** Without the field that tells of the format: production reads past it, and tells by the key alone that a controller is there. */
+    @Test
+    fun `the key of a controller`() {
+        assertEquals(setOf("label"), record("member").keys)
+    }
+
+    @Test
+    fun `pages of progress, while an earlier version may read them`() {
+        val page = ProgressPage(0)
+        val jobs = HashMap<String, Job>()
+        for (chunk in record("page").maps("chunks")) {
+            val read = ProgressPage.StoredChunk.parse(chunk)
+            val live = LiveRecord.parse(record(if (read.jobId == "wk-000001") "live-array" else "live-service"))
+            val job = jobs.getOrPut(read.jobId) { Job(live.spec, TeamIndex(0), live.chunkSize, 0L, 1L) }
+            read.done.stream().forEach { job.markDone(read.first + it) }
+            read.on.forEach { on ->
+                job.add(Placement(job, on.task, on.attempt, Machine(HostRecord(on.host, "g8", "x", false), null, 0L, 0L), 0L))
+            }
+            page.add(job.chunkOf(read.first))
+        }
+        assertSameForm("page", page.toFields(emptySet(), sized = false))
+        assertFalse(ProgressPage.isSized(record("page")))
+    }
+
+    @Test
+    fun `frames between controllers`() {
+        for (name in listOf("frame-news", "frame-takeover", "frame-query", "frame-report")) {
+            val sent = records.text(name).decodeHex()
+            val again = Buffer().also { PeerCodec.write(it, PeerCodec.read(Buffer().write(sent))) }.readByteString()
+            assertEquals(sent, again, name)
+        }
+    }
+
+    private companion object {
+        const val SIX_HOURS_MS = 6 * 3_600_000L
+        const val VALUE_BYTES = 8 * 1024
+    }
+}
--- a/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
+++ b/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
@@ -14,25 +14,22 @@
  */
 class RandomizedFaultTest {
     @TestFactory
-    fun days(): List<DynamicTest> = seeds().map { seed ->
-        DynamicTest.dynamicTest("day $seed") {
-            val day = RandomDay(seed).lines()
-            try {
-                Scenario(day).run()
-            } catch (e: AssertionError) {
-                throw AssertionError("day $seed: ${e.message}\n${day.joinToString("\n")}", e)
-            }
-        }
-    }
+    fun days(): List<DynamicTest> = play("day") { RandomDay(it) }
+
+    @TestFactory
+    fun `days with gangs`(): List<DynamicTest> = play("gang day") { RandomDay(it, gangs = true) }
 
+    /** Controllers are upgraded one after the other, and at some moment after the last one the state service takes less. */
     @TestFactory
-    fun `days with gangs`(): List<DynamicTest> = seeds().map { seed ->
-        DynamicTest.dynamicTest("gang day $seed") {
-            val day = RandomDay(seed, gangs = true).lines()
+    fun `days of an upgrade`(): List<DynamicTest> = play("upgrade day") { RandomDay(it, gangs = true, upgrade = true) }
+
+    private fun play(name: String, day: (Long) -> RandomDay): List<DynamicTest> = seeds().map { seed ->
+        DynamicTest.dynamicTest("$name $seed") {
+            val lines = day(seed).lines()
             try {
-                Scenario(day).run()
+                Scenario(lines).run()
             } catch (e: AssertionError) {
-                throw AssertionError("gang day $seed: ${e.message}\n${day.joinToString("\n")}", e)
+                throw AssertionError("$name $seed: ${e.message}\n${lines.joinToString("\n")}", e)
             }
         }
     }
@@ -43,7 +40,7 @@
         return from..to
     }
 
-    private class RandomDay(private val seed: Long, private val gangs: Boolean = false) {
+    private class RandomDay(private val seed: Long, private val gangs: Boolean = false, private val upgrade: Boolean = false) {
         private val random = Random(seed)
         private val events = ArrayList<Pair<Double, String>>()
 
@@ -59,7 +56,8 @@
             jobs()
             repeat(random.nextInt(3, 9)) { trouble(time(12.0, LAST - 30.0)) }
             outageBesideTroubleOfPeers()
-            if (gangs) addGangs(Random(-seed))
+            val allNewAt = if (upgrade) addUpgrade(Random(seed xor UPGRADE_SEED)) else 0.0
+            if (gangs) addGangs(Random(-seed), allNewAt)
             at(LAST, "calm")
             at(LAST + 60, "expect answered")
             at(LAST + 220, "expect settled")
@@ -74,7 +72,8 @@
                     "machine-type m 4 5",
                 ) +
                     (0 until MACHINES).map { "machine m ${if (it % 2 == 0) "x" else "y"}${if (it % 4 == 3) " spot" else ""}" }
-            return head + events.sortedBy { it.first }.map { "at ${it.first} ${it.second}" }
+            return head + (if (upgrade) listOf("value-kb 8", "next-limits 1 5", "old n0 n1 n2") else emptyList()) +
+                events.sortedBy { it.first }.map { "at ${it.first} ${it.second}" }
         }
 
         private fun jobs() {
@@ -95,15 +94,34 @@
             }
         }
 
+        /** Returns when all controllers are new. Arrays whose progress is stored in large parts are there before. */
+        private fun addUpgrade(chance: Random): Double {
+            for (i in 1..ARRAYS) {
+                val from = Math.round(chance.nextDouble(2.0, LAST - 40.0) * 10) / 10.0
+                val jobId = "wk-${200 + i}"
+                val team = listOf("a", "b", "c").random(chance)
+                at(from, "submit $jobId team=$team tasks=${chance.nextInt(15, 40)} run=${chance.nextInt(1, 5)} spot=${chance.nextBoolean()} insist=true")
+                if (chance.nextInt(5) == 0) at(from + chance.nextInt(1, 30), "abort $jobId insist=true")
+            }
+            var turn = chance.nextDouble(8.0, 30.0)
+            for (node in (0 until NODES).shuffled(chance)) {
+                at(turn, "upgrade n$node")
+                at(turn + chance.nextDouble(0.2, 6.0), "start n$node")
+                turn += chance.nextDouble(0.1, 15.0)
+            }
+            at(turn + chance.nextDouble(0.0, if (chance.nextBoolean()) 3.0 else 25.0), "lower-limits")
+            return turn
+        }
+
         /** Gangs among the other jobs of the day, which are the same without them. */
-        private fun addGangs(chance: Random) {
+        private fun addGangs(chance: Random, notBefore: Double) {
             for (i in 1..GANGS) {
                 val jobId = "wk-${100 + i}"
                 val taskCount = chance.nextInt(2, 9)
                 val zones = listOf("", " oneZone=true", " oneZone=true", " spread=true", " zone=y").random(chance)
                 val priority = listOf("standard", "best_effort", "urgent").random(chance)
                 val saves = if (chance.nextBoolean()) " checkpoint=${chance.nextInt(2, 20)}" else ""
-                val from = Math.round(chance.nextDouble(2.0, LAST - 20.0) * 10) / 10.0
+                val from = Math.round(chance.nextDouble(maxOf(2.0, notBefore), LAST - 20.0) * 10) / 10.0
                 val team = listOf("a", "b", "c").random(chance)
                 val image = if (chance.nextBoolean()) " imageGb=${chance.nextInt(1, 6)}" else ""
                 at(from, "submit $jobId kind=gang team=$team tasks=$taskCount run=${chance.nextInt(2, 40)} priority=$priority$zones$saves$image insist=true")
@@ -218,6 +236,8 @@
         const val MACHINES = 6
         const val JOBS = 12
         const val GANGS = 6
+        const val ARRAYS = 5
+        const val UPGRADE_SEED = 0x5eedL
 
         /** Gangs start whole or not at all: enough machines that the largest ones fit beside all services. */
         const val ROOM_FOR_GANGS = 6
--- a/src/test/kotlin/io/reedmast/SettingsTest.kt
+++ b/src/test/kotlin/io/reedmast/SettingsTest.kt
@@ -2,6 +2,7 @@
 
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SettingsException
+import io.reedmast.settings.StateLimits
 import io.reedmast.wire.Tree
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
@@ -42,6 +43,21 @@
         }
     }
 
+    @Test
+    fun `limits that come later are read as far as they are named`() {
+        assertEquals(null, parse(good).nextStateLimits)
+        val later = parse(good.replaceFirst("\"txn_ops\": 16", "\"txn_ops\": 16, \"next\": { \"value_kb\": 2, \"txn_ops\": 5, \"novelty\": 1 }"))
+        assertEquals(StateLimits(100.0, 20.0, 2048, 5), later.nextStateLimits)
+        for ((next, field) in listOf(
+            "{ \"value_kb\": 0 }" to "facts.state.next.value_kb",
+            "{ \"txn_ops\": [] }" to "facts.state.next.txn_ops",
+            "7" to "next",
+        )) {
+            val message = complaint(good.replaceFirst("\"txn_ops\": 16", "\"txn_ops\": 16, \"next\": $next"))
+            assertTrue(field in message, "$message should name $field")
+        }
+    }
+
     @Test
     fun `a missing file and a file that is not JSON are told apart from bad fields`() {
         assertTrue("cannot read" in assertThrows(SettingsException::class.java) { Settings.load(Path.of("no/such/file")) }.message.orEmpty())
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/gangs/GangReservationsTest.kt
@@ -0,0 +1,67 @@
+package io.reedmast.gangs
+
+import io.reedmast.jobs.Job
+import io.reedmast.jobs.Placement
+import io.reedmast.settings.TeamIndex
+import io.reedmast.sim.World
+import io.reedmast.wire.MachineType
+import io.reedmast.workers.HostRecord
+import io.reedmast.workers.Machine
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class GangReservationsTest {
+    private val machineType = MachineType("m", 4.0, 0.0, 64.0, 50.0, 0.5, 1.0, 0.3, 20.0, listOf("x", "y"))
+    private val reservations = GangReservations()
+    private val machines = (0 until 8).map { Machine(HostRecord("host-$it", "m", if (it < 4) "x" else "y", false), machineType, 0L, 0L) }
+
+    private fun job(id: String, tasks: Int, kind: String) =
+        Job(World.spec(id, mapOf("kind" to kind, "tasks" to "$tasks", "oneZone" to "true")), TeamIndex(0), 16, 0L, 1L)
+
+    private fun fill(machine: Machine, kind: String) = job("wk-${machine.name}", 4, kind).let { other ->
+        repeat(4) { other.add(Placement(other, it, 1L, machine, 0L)) }
+    }
+
+    @Test
+    fun `machines of one zone that arrays will leave are kept for a gang, from others`() {
+        machines.forEach { fill(it, if (it.record.zone == "x") "service" else "array") }
+        val gang = job("wk-1", 8, "gang")
+        reservations.reserve(gang, machines, 0L)
+        val kept = reservations.machinesOf(gang)
+        assertEquals(listOf("y", "y"), kept.map { it.record.zone })
+        assertTrue(kept.all { reservations.isKeptFrom(job("wk-2", 1, "array"), it) })
+        assertFalse(kept.any { reservations.isKeptFrom(gang, it) })
+    }
+
+    @Test
+    fun `a reservation ends, and is not renewed at once`() {
+        val gang = job("wk-1", 8, "gang")
+        reservations.reserve(gang, machines, 0L)
+        assertFalse(reservations.isEmpty)
+        reservations.prune(26_000L)
+        assertTrue(reservations.isEmpty)
+        reservations.reserve(gang, machines, 26_000L)
+        assertTrue(reservations.isEmpty)
+        reservations.prune(51_000L)
+        reservations.reserve(gang, machines, 51_000L)
+        assertFalse(reservations.isEmpty)
+    }
+
+    @Test
+    fun `all reservations together hold a part of the machines`() {
+        val gangs = (1..4).map { job("wk-$it", 8, "gang") }
+        gangs.forEach { reservations.reserve(it, machines, 0L) }
+        assertEquals(listOf(2, 2, 0, 0), gangs.map { reservations.machinesOf(it).size })
+    }
+
+    @Test
+    fun `a gang that has been placed keeps nothing`() {
+        val gang = job("wk-1", 4, "gang")
+        reservations.reserve(gang, machines, 0L)
+        repeat(4) { gang.add(Placement(gang, it, 1L, machines[0], 0L)) }
+        reservations.prune(100L)
+        assertTrue(reservations.isEmpty)
+    }
+}
