--- a/src/main/kotlin/io/reedmast/settings/Settings.kt
+++ b/src/main/kotlin/io/reedmast/settings/Settings.kt
@@ -130,7 +130,7 @@
                         positive(state, "txn_ops").toInt(),
                     )
                 }
-            val nextStateLimits = if (state["next"] == null) null else at("facts.state.") { state.map("next") }.let { nextLimits(it, stateLimits) }
+            val nextStateLimits = if (state["next"] == null) null else at("facts.state.next: ") { state.map("next") }.let { nextLimits(it, stateLimits) }
             if (stateLimits.opsPerCommit < 4) throw SettingsException("facts.state.txn_ops must be at least 4")
             val cloud = at("facts.") { facts.map("cloud") }
             val cloudLimits = at("facts.cloud.") { CloudLimits(positive(cloud, "rps"), cloud.amount("list_lag_s")) }
