Results wait until there is room for them at once, and placements of services and gangs are stored first

A page with results only was handed over when half of the budget was there, and then waited behind prompt changes for seconds in which nothing new in it could be stored. Now it is handed over when it can go at once, or after 8 s. Pages that services, gangs or other work with an aim for its start wait for go before those of arrays, and few pages at once, so that acceptances need not wait behind all.

--- a/src/main/kotlin/io/reedmast/jobs/ProgressPage.kt
+++ b/src/main/kotlin/io/reedmast/jobs/ProgressPage.kt
@@ -16,6 +16,18 @@
  * where one does. A chunk stays in its page; room for all its tasks is set aside when it comes.
  */
 class ProgressPage(val index: Int) {
+    /** What waits for a page to be stored, the most pressing last. */
+    enum class Waiting {
+        /** Results only: stored late, they save repeated work. */
+        NOTHING,
+
+        /** Placements of arrays, which are launched once they are stored. */
+        ARRAYS,
+
+        /** Placements of services and of other work that is to start soon. */
+        SOON,
+    }
+
     var version = 0L
     var writing = false
     val chunks = LinkedHashSet<Chunk>()
@@ -31,8 +43,11 @@
     /** The state service has refused it: until then it is not tried again. */
     var refusedUntil = 0L
 
-    /** Whether a placement waits for it to be launched. */
-    var urgent = false
+    /** Whether the put that is on its way holds something that is waited for. */
+    var waitedFor = false
+
+    /** What waits for it to be stored. */
+    var waiting = Waiting.NOTHING
 
     fun hasRoom(chunk: Chunk, bytes: Int) = superseded.isEmpty() && reserved + reserve(chunk) <= bytes
 
--- a/src/main/kotlin/io/reedmast/jobs/ProgressStore.kt
+++ b/src/main/kotlin/io/reedmast/jobs/ProgressStore.kt
@@ -132,28 +132,52 @@
                 if (chunk == null || !chunk.dirty) continue
                 val page = chunk.page ?: pageFor(chunk)
                 if (page.dirtySince == 0L) page.dirtySince = now
-                if (!page.urgent && chunk.placements.values.any { !it.committed }) page.urgent = true
+                page.waiting = maxOf(page.waiting, waitingFor(chunk))
             }
         }
         sliceState.changed.clear()
         if (!sliceState.fresh()) return
         endJobs()
         retirement.clear(pages, slice)
-        for (page in pages) {
-            if (page.dirtySince == 0L || page.writing || now < page.refusedUntil) continue
-            if (page.urgent) {
-                // Not to the last change that is allowed: an acceptance, whose user waits, takes one and should find it.
-                if (out.writeFullness() > FULL_ENOUGH_TO_PLACE) store(page, WritePriority.PROMPT)
-            } else if (now - page.dirtySince >= LAZY_MS && out.writeFullness() > FULL_ENOUGH) {
-                store(page, WritePriority.LAZY)
+        var onTheirWay = pages.count { it.writing && it.waitedFor }
+        val due = pages.filter { it.dirtySince != 0L && !it.writing && now >= it.refusedUntil }
+        for (page in due.sortedWith(compareBy({ -it.waiting.ordinal }, { it.dirtySince }))) {
+            if (page.waiting != ProgressPage.Waiting.NOTHING) {
+                // Not to the last change that is allowed: an acceptance, whose user waits, takes one and should find it. Nor more at once
+                // than it may wait behind: what is placed meanwhile shares the page's next put.
+                if (out.writeFullness() <= FULL_ENOUGH_TO_PLACE || onTheirWay >= mostAtOnce(page.waiting)) continue
+                store(page, WritePriority.PROMPT)
+                onTheirWay++
+            } else if (isTimeForResults(page, now)) {
+                store(page, if (now - page.dirtySince >= OVERDUE_MS) WritePriority.PROMPT else WritePriority.LAZY)
             }
         }
     }
 
+    /**
+     * A page that holds results only is handed over when there is room for it at once: while it waits to be stored, nothing new in it is.
+     */
+    private fun isTimeForResults(page: ProgressPage, now: Long): Boolean {
+        val age = now - page.dirtySince
+        return (age >= LAZY_MS && out.writeFullness() > ROOM_FOR_RESULTS) || (age >= OVERDUE_MS && out.writeFullness() > FULL_ENOUGH_TO_PLACE)
+    }
+
+    private fun waitingFor(chunk: Chunk): ProgressPage.Waiting = when {
+        chunk.placements.values.all { it.committed } -> ProgressPage.Waiting.NOTHING
+        sliceState.startsSoon(chunk.job) -> ProgressPage.Waiting.SOON
+        else -> ProgressPage.Waiting.ARRAYS
+    }
+
+    private fun mostAtOnce(waiting: ProgressPage.Waiting) = when {
+        out.writeFullness() > NEARLY_FULL -> PAGES_AT_ONCE
+        waiting == ProgressPage.Waiting.SOON -> SOME_PAGES_AT_ONCE
+        else -> FEW_PAGES_AT_ONCE
+    }
+
     /** Pages that are about to be written anyway come first, so that decisions of a moment share a put. */
     private fun pageFor(chunk: Chunk): ProgressPage {
         val open = pages.filter { !it.writing && it.hasRoom(chunk, pageBytes) }
-        val page = open.firstOrNull { it.urgent } ?: open.firstOrNull { it.dirtySince != 0L } ?: open.firstOrNull()
+        val page = open.firstOrNull { it.waiting != ProgressPage.Waiting.NOTHING } ?: open.firstOrNull { it.dirtySince != 0L } ?: open.firstOrNull()
         return (page ?: ProgressPage(pages.size).also { pages.add(it) }).also { it.add(chunk) }
     }
 
@@ -164,9 +188,10 @@
         val jobs = pending.mapTo(LinkedHashSet()) { it.job }.take(sliceState.limits.target.opsPerCommit * GUARDED_JOBS_PER_CHANGE)
         val included = pending.filter { it.job in jobs }
         val left = pending.filterTo(HashSet()) { it.job !in jobs }
+        page.waitedFor = page.waiting != ProgressPage.Waiting.NOTHING
         page.chunks.forEach { it.dirty = false }
         page.dirtySince = if (left.isEmpty()) 0L else page.dirtySince
-        page.urgent = left.isNotEmpty()
+        page.waiting = if (left.isEmpty()) ProgressPage.Waiting.NOTHING else page.waiting
         page.writing = true
         val guards = ArrayList<Guard>(jobs.size + 2)
         guards.add(sliceState.termGuard)
@@ -204,7 +229,8 @@
     private fun again(page: ProgressPage) {
         page.chunks.forEach { sliceState.touched(it) }
         page.dirtySince = sliceState.clock.now()
-        page.urgent = true
+        page.waiting = page.chunks.maxOfOrNull { waitingFor(it) } ?: ProgressPage.Waiting.NOTHING
+        if (page.waiting == ProgressPage.Waiting.NOTHING) page.waiting = ProgressPage.Waiting.ARRAYS
     }
 
     /** Something had moved on: the term, a job that its user has cancelled, or the page, if an answer of ours was lost. */
@@ -290,6 +316,12 @@
         const val GUARDED_JOBS_PER_CHANGE = 3
         const val FULL_ENOUGH = 0.5
         const val FULL_ENOUGH_TO_PLACE = 0.25
+        const val NEARLY_FULL = 0.8
+        const val ROOM_FOR_RESULTS = 0.65
+        const val OVERDUE_MS = 8_000L
+        const val PAGES_AT_ONCE = 8
+        const val SOME_PAGES_AT_ONCE = 5
+        const val FEW_PAGES_AT_ONCE = 2
         const val MAX_ENDINGS = 64
         const val REFUSED_MS = 30_000L
         const val REREAD_MS = 500L
