Users' changes go when work must wait for the budget of changes, and work leaves part of it to them

Under the lowered limits the budget of a controller is empty all the time, and each acceptance waited for a change's time and more: 46 of 399 took over 150 ms in the process, all with nothing left in the budget (a trial that logs). Acceptances and cancellations are a priority of their own now; work leaves them three tenths of the bucket, which does not lower its rate, and after two batches of users' changes work goes next whatever is kept.

--- a/src/main/kotlin/io/reedmast/app/NetworkGateway.kt
+++ b/src/main/kotlin/io/reedmast/app/NetworkGateway.kt
@@ -39,7 +39,7 @@
 ) : Gateway {
     private val log = LoggerFactory.getLogger("cloud")
     private val committer =
-        Committer(client, limits, MAX_SUBMISSIONS_QUEUED, TransactionIds(incarnation)) { change, outcome ->
+        Committer(client, limits, submissionsQueued(limits), TransactionIds(incarnation)) { change, outcome ->
             eventLoop.post { change.done(outcome) }
         }
     private val reads = WorkPool("read", READ_THREADS, READS_QUEUED)
@@ -55,6 +55,10 @@
     private val cloudCaller = Caller(CLOUD_CONNECT_MS, CLOUD_READ_MS)
     private val cloudLimit = RateLimiter.create(settings.cloudLimits.requestsPerS / settings.members.size)
 
+    /** Those that wait longer would be asked for again before they are stored. */
+    private fun submissionsQueued(limits: LimitsInForce): Int =
+        (limits.target.writesPerS / settings.members.size * SUBMISSIONS_WAIT_S).toInt().coerceIn(FEWEST_SUBMISSIONS_QUEUED, MAX_SUBMISSIONS_QUEUED)
+
     override val stateAnswers: Boolean get() = committer.answering
 
     fun start() {
@@ -206,6 +210,8 @@
     companion object {
         private const val COMMIT_THREADS = 3
         private const val MAX_SUBMISSIONS_QUEUED = 64
+        private const val FEWEST_SUBMISSIONS_QUEUED = 12
+        private const val SUBMISSIONS_WAIT_S = 4.0
         private const val READ_THREADS = 4
         private const val READS_QUEUED = 200
         private const val DIRECT_THREADS = 16
--- a/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
@@ -12,6 +12,7 @@
 import io.reedmast.state.LimitsInForce
 import io.reedmast.state.Outcome
 import io.reedmast.state.Write
+import io.reedmast.state.WritePriority
 import io.reedmast.wire.JobShape
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.JobState
@@ -72,7 +73,7 @@
         val path = Keys.live(slice, spec.jobId)
         // A late copy of a submission must not bring back a job that is over: its end is a condition too.
         val change =
-            Change(listOf(Guard(path, 0), Guard(Keys.end(spec.jobId), 0)), listOf(Write.Put(path, record))) { outcome ->
+            Change(listOf(Guard(path, 0), Guard(Keys.end(spec.jobId), 0)), listOf(Write.Put(path, record)), WritePriority.USER) { outcome ->
                 when (outcome) {
                     is Outcome.Applied -> {
                         log.info("{}: accepted, {} tasks of {} for {}", spec.jobId, spec.taskCount, spec.jobClass, spec.teamName)
@@ -187,7 +188,7 @@
         val path = Keys.live(job.slice.value, jobId)
         val record = job.record.aborted().toFields()
         out.commit(
-            Change(listOf(Guard(path, job.version)), listOf(Write.Put(path, record))) { outcome ->
+            Change(listOf(Guard(path, job.version)), listOf(Write.Put(path, record)), WritePriority.USER) { outcome ->
                 if (outcome is Outcome.Applied) {
                     log.info("{}: cancelled by its user", jobId)
                     answer(aborted(jobId))
--- a/src/main/kotlin/io/reedmast/state/Change.kt
+++ b/src/main/kotlin/io/reedmast/state/Change.kt
@@ -31,7 +31,10 @@
 
 /** What goes first when the state service takes fewer changes than there are. */
 enum class WritePriority {
-    /** Somebody waits for it: an acceptance, a placement, the end of a job. */
+    /** A user waits for it: an acceptance, a cancellation. It takes turns with prompt changes. */
+    USER,
+
+    /** Work waits for it: a placement, the end of a job, machines. */
     PROMPT,
 
     /** It only saves repeated work, or clears away. */
--- a/src/main/kotlin/io/reedmast/state/CommitQueue.kt
+++ b/src/main/kotlin/io/reedmast/state/CommitQueue.kt
@@ -21,6 +21,10 @@
 
     private var batches = 0L
     private val queues = WritePriority.entries.map { ArrayDeque<Queued>() }
+    private val users = queues[WritePriority.USER.ordinal]
+
+    /** How many batches of users' changes have gone since the last one of work. */
+    private var usersInARow = 0
 
     /** False if the queue is full; only changes asked for from outside may be refused. */
     fun offer(change: Change, refusable: Boolean): Boolean {
@@ -30,21 +34,47 @@
         return true
     }
 
-    /** Takes what goes out next: prompt changes first, as many as fit one transaction. */
+    /** Changes that may go next, and the priority by which the budget is asked for them. */
+    private class Candidate(val queue: ArrayDeque<Queued>, val priority: WritePriority)
+
+    /** Takes what goes out next, as many changes of a kind as fit one transaction. */
     fun poll(): Polled {
-        val overdue = if (batches % OVERDUE_EACH == 0L) queues.firstOrNull { it.isOverdue() } else null
-        val queue = overdue ?: queues.firstOrNull { it.isNotEmpty() } ?: return Polled.Empty
-        val priority = if (overdue == null) queue.peek().change.writePriority else WritePriority.PROMPT
-        val wait = budget.take(queue.peek().change.writes.size, priority)
-        if (wait > 0L) return Polled.Wait(wait)
+        var shortestWait = Long.MAX_VALUE
+        for (candidate in candidates()) {
+            val wait = budget.take(candidate.queue.peek().change.writes.size, candidate.priority)
+            if (wait == 0L) return Polled.Batch(batchOf(candidate))
+            shortestWait = minOf(shortestWait, wait)
+        }
+        return if (shortestWait == Long.MAX_VALUE) Polled.Empty else Polled.Wait(shortestWait)
+    }
+
+    private fun batchOf(candidate: Candidate): List<Change> {
         batches++
+        usersInARow = if (candidate.queue === users) usersInARow + 1 else 0
+        val queue = candidate.queue
         val batch = Batch(limits).apply { add(queue.poll().change) }
         while (true) {
             val next = queue.peek()?.change ?: break
-            if (!batch.accepts(next) || budget.take(next.writes.size, priority) > 0L) break
+            if (!batch.accepts(next) || budget.take(next.writes.size, candidate.priority) > 0L) break
             batch.add(queue.poll().change)
         }
-        return Polled.Batch(batch.changes)
+        return batch.changes
+    }
+
+    /**
+     * Users' changes first, since users wait; but when work has waited behind some of them, it goes next, whatever the budget keeps for
+     * users: a burst of submissions must not hold up the placements of what was accepted.
+     */
+    private fun candidates(): List<Candidate> {
+        val lazy = queues[WritePriority.LAZY.ordinal]
+        if (batches % OVERDUE_EACH == 0L && lazy.isOverdue()) return listOf(Candidate(lazy, WritePriority.PROMPT))
+        val prompt = queues[WritePriority.PROMPT.ordinal]
+        if (prompt.isNotEmpty() && usersInARow >= MOST_USERS_IN_A_ROW) return listOf(Candidate(prompt, WritePriority.USER))
+        val found = ArrayList<Candidate>(2)
+        if (users.isNotEmpty()) found.add(Candidate(users, WritePriority.USER))
+        if (prompt.isNotEmpty()) found.add(Candidate(prompt, WritePriority.PROMPT))
+        if (found.isEmpty() && lazy.isNotEmpty()) found.add(Candidate(lazy, WritePriority.LAZY))
+        return found
     }
 
     /**
@@ -91,5 +121,6 @@
         /** How long a lazy change waits behind prompt ones at the most. */
         const val LAZY_MS = 4_000L
         const val OVERDUE_EACH = 8L
+        const val MOST_USERS_IN_A_ROW = 2
     }
 }
--- a/src/main/kotlin/io/reedmast/state/WriteBudget.kt
+++ b/src/main/kotlin/io/reedmast/state/WriteBudget.kt
@@ -29,8 +29,7 @@
     fun take(count: Int, writePriority: WritePriority): Long {
         fill()
         val full = maxOf(rate, 1.0)
-        val keep = if (writePriority == WritePriority.LAZY) full * KEPT_FOR_PROMPT else 0.0
-        val needed = minOf(count + keep, full)
+        val needed = minOf(count + full * keptBy(writePriority), full)
         if (level >= needed) {
             level -= count
             return 0L
@@ -45,6 +44,13 @@
         level = minOf(level, 0.0)
     }
 
+    /** The part of a full bucket that a change of this priority leaves to more pressing ones. */
+    private fun keptBy(writePriority: WritePriority) = when (writePriority) {
+        WritePriority.USER -> 0.0
+        WritePriority.PROMPT -> KEPT_FOR_USERS
+        WritePriority.LAZY -> KEPT_FOR_PROMPT
+    }
+
     private fun fill() {
         val now = nowMs()
         level = minOf(maxOf(rate, 1.0), level + (now - filledAt) / 1000.0 * rate)
@@ -52,6 +58,8 @@
     }
 
     private companion object {
-        const val KEPT_FOR_PROMPT = 0.4
+        /** A user's change finds room at once, however many others there are: the rate at which these go is the same. */
+        const val KEPT_FOR_USERS = 0.3
+        const val KEPT_FOR_PROMPT = 0.45
     }
 }
--- a/src/test/kotlin/io/reedmast/state/CommitQueueTest.kt
+++ b/src/test/kotlin/io/reedmast/state/CommitQueueTest.kt
@@ -32,6 +32,31 @@
         assertEquals(listOf("a"), paths())
     }
 
+    /** A burst of submissions must not hold up the placements of what was accepted. */
+    @Test
+    fun `work goes on while users send more than the limit allows`() {
+        repeat(100) { queue.offer(change("work$it"), refusable = false) }
+        val sent = ArrayList<String>()
+        repeat(200) {
+            repeat(4) { queue.offer(change("user${sent.size}-$it", WritePriority.USER), refusable = true) }
+            (queue.poll() as? CommitQueue.Polled.Batch)?.changes?.mapTo(sent) { it.writes.single().path }
+            now += 50
+        }
+        assertTrue(sent.count { it.startsWith("work") } >= 25, "$sent")
+        assertTrue(sent.count { it.startsWith("user") } >= 40, "$sent")
+    }
+
+    /** Acceptances waited for a change's time and more, as long as work took every change that the limit allowed. */
+    @Test
+    fun `a user's change goes at once while work takes all that the limit leaves`() {
+        repeat(40) { queue.offer(change("a$it"), refusable = false) }
+        while (queue.poll() is CommitQueue.Polled.Batch) now += 1
+        repeat(2) {
+            queue.offer(change("accept$it", WritePriority.USER), refusable = true)
+            assertEquals(listOf("accept$it"), paths())
+        }
+    }
+
     @Test
     fun `only what is asked for from outside is refused`() {
         repeat(8) { assertTrue(queue.offer(change("a$it"), refusable = true)) }
