Room is kept from arrays for the gangs that arrive next, and gangs preempt after a second

Twenty of 62 fraude-scan jobs waited for room for over a second, a quarter of them for over five: what their slice had free lay in pieces of one CPU over four zones. An eighth of a slice's machines at most, for up to three gangs of the largest size seen lately, in one zone, those that have gangs' images first, are left to gangs; services use them all the same.

--- a/src/main/kotlin/io/reedmast/gangs/GangReservations.kt
+++ b/src/main/kotlin/io/reedmast/gangs/GangReservations.kt
@@ -2,6 +2,7 @@
 
 import io.reedmast.jobs.Job
 import io.reedmast.placement.allows
+import io.reedmast.wire.JobSpec
 import io.reedmast.workers.Machine
 
 /**
@@ -16,6 +17,9 @@
     private class Reservation(val machines: Set<Machine>, val until: Long)
 
     private val reservations = LinkedHashMap<Job, Reservation>()
+
+    /** Machines that arrays leave to the gangs that arrive next. */
+    private var forNext: Set<Machine> = emptySet()
     private val holders = HashMap<Machine, Job>()
 
     /** Drops what has expired long ago and what is of no use any more. */
@@ -27,14 +31,50 @@
     }
 
     /** Whether the machine's room is kept for a gang other than [job]. */
-    fun isKeptFrom(job: Job?, machine: Machine): Boolean = holders[machine]?.let { it !== job } ?: false
+    fun isKeptFrom(job: Job, machine: Machine): Boolean = (!job.spec.gang && machine in forNext) || holders[machine]?.let { it !== job } ?: false
 
     /** Whether any machine's room is kept for a gang. */
-    val isEmpty: Boolean get() = holders.isEmpty()
+    val isEmpty: Boolean get() = holders.isEmpty() && forNext.isEmpty()
 
     /** The machines whose room is kept for the gang. */
     fun machinesOf(job: Job): Set<Machine> = reservations[job]?.machines?.filterTo(LinkedHashSet()) { holders[it] === job }.orEmpty()
 
+    /**
+     * Keeps arrays off some machines of one zone, so that the gangs which arrive next find room at once: as much as the largest one of
+     * [recent] needs, for as many as arrive while room is gathered. Machines that have gangs' images are preferred.
+     */
+    fun keepForNext(recent: List<JobSpec>, expected: Double, machines: List<Machine>) {
+        val largest = recent.maxByOrNull { it.cpus * it.taskCount }
+        if (largest == null) {
+            forNext = emptySet()
+            return
+        }
+        val images = recent.mapTo(HashSet()) { it.image }
+        val tasks = largest.taskCount * minOf(MOST_ROOMS, 1 + expected.toInt())
+        val able = machines.filter { allows(largest, it.record.typeName, it.record.zone, it.record.spot) && it !in holders && !it.record.spot }
+        val groups = if (recent.any { it.oneZone }) able.groupBy { it.record.zone }.values else listOf(able)
+        val most = maxOf(FEWEST, machines.size / PART_FOR_NEXT)
+        fun warmth(machine: Machine) = images.count { it in machine.images }
+        val order = compareBy<Machine>({ it !in forNext }, { -warmth(it) }, { -tasksThatFit(largest, it) })
+        val choices = groups.map { group -> firstThatHold(largest, tasks, group.sortedWith(order), most) }
+        forNext = choices.maxByOrNull { chosen ->
+            chosen.count { it in forNext } * STAYS + chosen.sumOf { warmth(it) } + chosen.sumOf { tasksOnceFree(largest, it) }
+        }.orEmpty()
+    }
+
+    private fun firstThatHold(spec: JobSpec, tasks: Int, machines: List<Machine>, most: Int): Set<Machine> {
+        val chosen = LinkedHashSet<Machine>()
+        var left = tasks
+        for (machine in machines) {
+            if (left <= 0 || chosen.size >= most) break
+            val count = tasksOnceFree(spec, machine)
+            if (count == 0) continue
+            chosen.add(machine)
+            left -= count
+        }
+        return chosen
+    }
+
     /** Keeps room for the gang, if it has no reservation and there are machines that may come to hold it. */
     fun reserve(job: Job, machines: List<Machine>, now: Long) {
         if (job in reservations) return
@@ -54,23 +94,16 @@
     }
 
     private fun fewest(job: Job, machines: List<Machine>): Set<Machine>? {
-        val chosen = LinkedHashSet<Machine>()
-        var left = job.spec.taskCount
-        for (machine in machines.sortedWith(compareBy({ -tasksThatFit(job.spec, it) }, { -tasksOnceFree(job, it) }))) {
-            if (left <= 0) break
-            val count = tasksOnceFree(job, machine)
-            if (count == 0) continue
-            chosen.add(machine)
-            left -= count
-        }
-        return if (left <= 0) chosen else null
+        val order = compareBy<Machine>({ -tasksThatFit(job.spec, it) }, { -tasksOnceFree(job.spec, it) })
+        val chosen = firstThatHold(job.spec, job.spec.taskCount, machines.sortedWith(order), Int.MAX_VALUE)
+        return chosen.takeIf { it.sumOf { machine -> tasksOnceFree(job.spec, machine) } >= job.spec.taskCount }
     }
 
     /** How many tasks fit once arrays on the machine have ended. */
-    private fun tasksOnceFree(job: Job, machine: Machine): Int {
+    private fun tasksOnceFree(spec: JobSpec, machine: Machine): Int {
         val ending = machine.placements.values.filter { !it.job.spec.service && !it.job.spec.gang }
         return tasksThatFit(
-            job.spec,
+            spec,
             machine.freeCpus + ending.sumOf { it.job.spec.cpus },
             machine.freeGpus + ending.sumOf { it.job.spec.gpus },
             machine.freeMemoryGb + ending.sumOf { it.job.spec.memoryGb },
@@ -81,5 +114,10 @@
         const val HELD_MS = 25_000L
         const val FEWEST = 4
         const val PART_OF_MACHINES = 4
+        const val PART_FOR_NEXT = 8
+        const val MOST_ROOMS = 3
+
+        /** What a machine that is kept already is worth against tasks that others hold: room is gathered where it has begun to be. */
+        const val STAYS = 4
     }
 }
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -234,6 +234,7 @@
         job.waitsSince = clock.now()
         job.idleSince = clock.now()
         job.unservedSince = clock.now()
+        if (spec.gang) sliceState.gangArrivals.addLast(SliceState.GangArrival(clock.now(), spec))
         if (active) {
             val (arrivals, amount) = if (spec.service || spec.gang) {
                 sliceState.arrivals to spec.cpus * spec.taskCount
--- a/src/main/kotlin/io/reedmast/jobs/SliceState.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceState.kt
@@ -65,6 +65,11 @@
 
     val arrivals = ArrayDeque<Arrival>()
 
+    /** A gang accepted lately. */
+    class GangArrival(val at: Long, val spec: JobSpec)
+
+    val gangArrivals = ArrayDeque<GangArrival>()
+
     /** Arrays accepted lately: of these, [Arrival.cpus] is their work in CPU seconds. */
     val arrayArrivals = ArrayDeque<Arrival>()
 
--- a/src/main/kotlin/io/reedmast/placement/Placer.kt
+++ b/src/main/kotlin/io/reedmast/placement/Placer.kt
@@ -68,6 +68,7 @@
         if (ready.isEmpty()) return
         val machines = candidates(now)
         reservations.prune(now)
+        keepRoomForGangs(machines, now)
         val homes = machines.filter { it.isServiceHome }
         val most = homes.sumOf { it.machineType?.cpus ?: 0.0 } * MOST_RESERVED
         val room = HeldRoom(homes.sumOf { it.freeCpus }, minOf(spareMachines.reserve(now), most))
@@ -111,6 +112,13 @@
         .filter { now >= (nextUnserved[it.team] ?: 0L) && sliceState.isUnserved(it) }
         .groupBy { it.team }.values.flatMap { jobs -> jobs.sortedByDescending { sliceState.unservedForMs(it) }.take(UNSERVED_AT_ONCE) }
 
+    private fun keepRoomForGangs(machines: List<Machine>, now: Long) {
+        val arrivals = sliceState.gangArrivals
+        while (arrivals.isNotEmpty() && now - arrivals.first().at > GANG_ARRIVALS_MS) arrivals.removeFirst()
+        val expected = arrivals.size.toDouble() * ROOM_GATHERED_MS / GANG_ARRIVALS_MS
+        reservations.keepForNext(arrivals.map { it.spec }, expected, machines)
+    }
+
     /**
      * Funded gangs within their teams' guarantees that found no room in an earlier pass. Each piece of room that comes free would go
      * to an array of some team before there is enough for a gang.
@@ -260,8 +268,11 @@
      * What fits a little later without stopping anything does not need a victim: tasks end all the time, and each victim
      * loses what it has done. A day of arrays that yielded at once to services stopped a fifth of all tasks.
      */
-    private fun preemptAfterMs(job: Job): Long =
-        (sliceState.settings.workers.reportS * 1000 * if (sliceState.startsSoon(job)) 1 else ARRAY_WAITS_REPORTS).toLong()
+    private fun preemptAfterMs(job: Job): Long = when {
+        job.spec.gang -> GANG_WAITS_MS
+        sliceState.startsSoon(job) -> (sliceState.settings.workers.reportS * 1000).toLong()
+        else -> (sliceState.settings.workers.reportS * 1000 * ARRAY_WAITS_REPORTS).toLong()
+    }
 
     /** Whether the work yields to anything at all: funded work that cannot resume never does. */
     private fun yieldable(placement: Placement) =
@@ -319,6 +330,13 @@
         const val MOST_KEPT_FROM_ALL = 4
         const val KEPT_MS = 60_000L
         const val ARRAY_WAITS_REPORTS = 4
+
+        /** What ends by itself seldom makes room for all of a gang. */
+        const val GANG_WAITS_MS = 1_000L
+        const val GANG_ARRIVALS_MS = 120_000L
+
+        /** How long it takes, about, until arrays have left room for a gang. */
+        const val ROOM_GATHERED_MS = 20_000L
         const val PASS_EVERY_MS = 100L
         const val ARRAY_PASS_EVERY_MS = 250L
         const val ATTEMPT_BITS = 22
--- a/src/test/kotlin/io/reedmast/gangs/GangReservationsTest.kt
+++ b/src/test/kotlin/io/reedmast/gangs/GangReservationsTest.kt
@@ -35,6 +35,17 @@
         assertFalse(kept.any { reservations.isKeptFrom(gang, it) })
     }
 
+    @Test
+    fun `room for the next gang is kept from arrays, on machines that have its image`() {
+        machines[5].noteImage("img", 0.1)
+        reservations.keepForNext(listOf(job("wk-1", 4, "gang").spec), expected = 0.0, machines)
+        assertTrue(reservations.isKeptFrom(job("wk-2", 1, "array"), machines[5]))
+        assertFalse(reservations.isKeptFrom(job("wk-3", 2, "gang"), machines[5]))
+        assertEquals(1, machines.count { reservations.isKeptFrom(job("wk-2", 1, "array"), it) })
+        reservations.keepForNext(emptyList(), expected = 0.0, machines)
+        assertTrue(reservations.isEmpty)
+    }
+
     @Test
     fun `a reservation ends, and is not renewed at once`() {
         val gang = job("wk-1", 8, "gang")
