--- /dev/null
+++ b/src/test/kotlin/io/reedmast/jobs/PageDivisionTest.kt
@@ -0,0 +1,144 @@
+package io.reedmast.jobs
+
+import io.reedmast.ports.Clock
+import io.reedmast.settings.CloudLimits
+import io.reedmast.settings.Member
+import io.reedmast.settings.NodeIndex
+import io.reedmast.settings.Settings
+import io.reedmast.settings.SliceIndex
+import io.reedmast.settings.StateLimits
+import io.reedmast.settings.TeamIndex
+import io.reedmast.settings.TeamShare
+import io.reedmast.settings.Tuning
+import io.reedmast.settings.WorkerRules
+import io.reedmast.sim.RecordingGateway
+import io.reedmast.sim.World
+import io.reedmast.state.Change
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.wire.Fields
+import io.reedmast.wire.maps
+import io.reedmast.workers.HostRecord
+import io.reedmast.workers.Machine
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** A page of an earlier version is divided for lowered limits: two pages speak for the same tasks until the old one is cleared. */
+class PageDivisionTest {
+    private var now = 10_000L
+    private val clock = object : Clock {
+        override fun now() = now
+
+        override fun wall() = now
+    }
+    private val settings = Settings(
+        label = "n0",
+        front = World.address(0, 8080),
+        clusterListen = World.address(0, 8081),
+        members = listOf(Member("n0", World.address(0, 8081))),
+        self = NodeIndex(0),
+        cloud = "10.2.0.2:1",
+        state = "10.2.0.1:1",
+        zones = listOf("x"),
+        teams = listOf(TeamShare("a", 800.0, 1200.0, 0.0, 0.0)),
+        objectives = emptyList(),
+        workers = WorkerRules(3.0, 16.0, 41.0),
+        stateLimits = StateLimits(100.0, 50.0, 32 * 1024, 16),
+        nextStateLimits = StateLimits(100.0, 35.0, 2 * 1024, 5),
+        cloudLimits = CloudLimits(2.0, 5.0),
+        maxConnections = 100,
+    )
+    private val out = RecordingGateway()
+    private val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits).apply { lower() }
+    private val sliceState = SliceState(SliceIndex(0), settings, Tuning(), clock, { emptyList() }, { true }, limits)
+    private val launchable = ArrayList<Placement>()
+    private val store = ProgressStore(
+        sliceState,
+        out,
+        object : Stored {
+            override fun placed(placement: Placement) {
+                launchable.add(placement)
+            }
+
+            override fun termInDoubt() = Unit
+
+            override fun recordChanged(path: String, item: Item?) = Unit
+
+            override fun ended(job: Job, end: EndRecord, revision: Long) = Unit
+        },
+    )
+    private val smallSize = ProgressPage.chunkSizeFor(2 * 1024)
+    private val job = Job(World.spec("wk-1", mapOf("tasks" to "100")), TeamIndex(0), smallSize, 0L, 1L).also { sliceState.jobs["wk-1"] = it }
+
+    private fun chunk(first: Int, size: Int?, vararg on: Any): Fields = mapOf("job" to "wk-1", "first" to first.toLong(), "done" to "", "on" to on.toList()) +
+        (if (size == null) emptyMap() else mapOf("size" to size.toLong()))
+
+    private fun page(index: Int, version: Long, vararg chunks: Fields) = Item(Keys.page(0, index), mapOf("chunks" to chunks.toList()), version)
+
+    private fun load(vararg pages: Item) = store.load(pages.toList(), mapOf("wk-1" to OLD_SIZE)) { of, stored ->
+        val machine = Machine(HostRecord(stored.host, "m", "x", false), null, 0L, 0L)
+        sliceState.place(Placement(of, stored.task, stored.attempt, machine, now).apply { committed = true })
+    }
+
+    private fun tasksPlaced() = job.placements().map { it.task }.toList()
+
+    private fun flush(): List<Change> {
+        val before = out.commits.size
+        store.flush(now)
+        // What nobody waits for is stored a little later.
+        now += 10_000
+        store.flush(now)
+        return out.commits.drop(before)
+    }
+
+    private fun putOf(change: Change) = change.writes.single() as Write.Put
+
+    @Test
+    fun `an older copy does not bring back a placement that has ended`() {
+        val old = page(0, 5L, chunk(0, null, 0L, 7L, "host-1", 1L, 8L, "host-2", 40L, 9L, "host-3"))
+        val newer = page(1, 9L, chunk(0, smallSize, 1L, 8L, "host-2"))
+        load(old, newer)
+        assertEquals(listOf(1, 40), tasksPlaced())
+    }
+
+    @Test
+    fun `a part that has become empty is stored all the same while an older copy is there`() {
+        load(page(0, 5L, chunk(0, null, 0L, 7L, "host-1")))
+        sliceState.finish(job.placements().first(), done = false)
+        val chunks = flush().map { putOf(it) }.filter { it.path != Keys.page(0, 0) }.flatMap { it.value.maps("chunks") }
+        assertTrue(chunks.any { it["first"] == 0 && it["size"] == smallSize && it["on"] == emptyList<Any>() }, "$chunks")
+    }
+
+    @Test
+    fun `the old page is cleared once all of it is in other pages, and not before`() {
+        load(page(0, 5L, chunk(0, null, 0L, 7L, "host-1", 40L, 9L, "host-3")))
+        val first = flush()
+        assertTrue(first.isNotEmpty() && first.none { putOf(it).path == Keys.page(0, 0) }, "${first.map { putOf(it).path }}")
+        assertTrue(flush().none { putOf(it).path == Keys.page(0, 0) })
+        assertFalse(job.chunkOf(0).stored)
+        first.forEach { it.done(Outcome.Applied(11L)) }
+        val cleared = flush().single { putOf(it).path == Keys.page(0, 0) }
+        assertEquals(ProgressPage.EMPTY, putOf(cleared).value)
+        assertTrue(cleared.guards.any { it.path == Keys.page(0, 0) && it.version == 5L })
+        cleared.done(Outcome.Applied(12L))
+        assertTrue(job.chunkOf(0).stored && job.chunkOf(40).stored)
+    }
+
+    @Test
+    fun `no value is larger than the lowered limits allow`() {
+        load(page(0, 5L, chunk(0, null, *(0L until 100L).flatMap { listOf<Any>(it, Long.MAX_VALUE - it, "host-${100_000 + it}") }.toTypedArray())))
+        val puts = flush().map { putOf(it) }
+        val sizes = puts.map { it.storedSize("mastil-0-abcdefgh-abcdefghijkl-99999") }
+        assertTrue(sizes.all { it <= 2 * 1024 }, "$sizes")
+        assertEquals(100, puts.flatMap { it.value.maps("chunks") }.sumOf { (it["on"] as List<*>).size / 3 })
+    }
+
+    private companion object {
+        const val OLD_SIZE = 330
+    }
+}
