--- a/src/test/kotlin/io/reedmast/LargeFaultTest.kt
+++ b/src/test/kotlin/io/reedmast/LargeFaultTest.kt
@@ -14,27 +14,35 @@
  */
 class LargeFaultTest {
     @TestFactory
-    fun days(): List<DynamicTest> = seeds().map { seed ->
-        DynamicTest.dynamicTest("day $seed") {
-            val day = LargeDay(seed)
-            try {
-                Scenario(day.lines()).run()
-            } catch (e: AssertionError) {
-                throw AssertionError("day $seed: ${e.message?.take(MOST_SHOWN)}\n${day.troubles().joinToString("\n")}", e)
-            }
+    fun days(): List<DynamicTest> = seeds().map { seed -> play("day $seed", LargeDay(seed)) }
+
+    /** Controllers are upgraded among the other troubles, gangs come after that, and the state service lowers its limits. */
+    @TestFactory
+    fun `days of an upgrade`(): List<DynamicTest> = seeds(UPGRADE_DAYS).map { seed -> play("upgrade day $seed", LargeDay(seed, upgrade = true)) }
+
+    /** As many machines as any deployment has: nothing may hold fewer. */
+    @TestFactory
+    fun `an upgrade of four thousand machines`(): List<DynamicTest> =
+        listOf(play("4,000 machines", LargeDay(seed = 4, upgrade = true, machines = 4_000, jobs = 600)))
+
+    private fun play(name: String, day: LargeDay): DynamicTest = DynamicTest.dynamicTest(name) {
+        try {
+            Scenario(day.lines()).run()
+        } catch (e: AssertionError) {
+            throw AssertionError("$name: ${e.message?.take(MOST_SHOWN)}\n${day.troubles().joinToString("\n")}", e)
         }
     }
 
     /** The days that are always played, or, to look for more, those that the variable LARGE_SEEDS names (as in 100-200). */
-    private fun seeds(): LongRange {
-        val (from, to) = (System.getenv("LARGE_SEEDS") ?: return 1L..DAYS).split('-').map { it.toLong() }
+    private fun seeds(days: Long = DAYS): LongRange {
+        val (from, to) = (System.getenv("LARGE_SEEDS") ?: return 1L..days).split('-').map { it.toLong() }
         return from..to
     }
 
-    private class LargeDay(private val seed: Long) {
+    private class LargeDay(private val seed: Long, private val upgrade: Boolean = false, machines: Int? = null, jobs: Int? = null) {
         private val random = Random(seed)
-        private val machines = if (seed % LARGEST_EACH == 0L) LARGEST else random.nextInt(150, 500)
-        private val jobs = if (seed % LARGEST_EACH == 0L) 900 else random.nextInt(200, 400)
+        private val machines = machines ?: if (seed % LARGEST_EACH == 0L) LARGEST else random.nextInt(150, 500)
+        private val jobs = jobs ?: if (seed % LARGEST_EACH == 0L) 900 else random.nextInt(200, 400)
         private val events = ArrayList<Pair<Double, String>>()
         private val troubles = ArrayList<Pair<Double, String>>()
 
@@ -49,6 +57,7 @@
         fun lines(): List<String> {
             repeat(jobs) { job(it) }
             repeat(random.nextInt(5, 12)) { trouble(time(12.0, LAST - 25.0)) }
+            if (upgrade) addUpgrade(Random(-seed))
             val ends = listOf(
                 2.0 to "poll-all 5",
                 LAST to "calm",
@@ -67,7 +76,7 @@
                 "machines $zone m x",
                 "machines ${machines - zone - zone / 2} m y",
                 "machines ${zone / 2} m y spot",
-            ) + (0 until TEAMS).map { "team t$it ${machines / 2} ${machines * 2}" }
+            ) + (if (upgrade) listOf("next-limits 2 5", "old n0 n1 n2") else emptyList()) + (0 until TEAMS).map { "team t$it ${machines / 2} ${machines * 2}" }
             return head + (events + troubles + ends).sortedBy { it.first }.map { "at ${it.first} ${it.second}" }
         }
 
@@ -87,6 +96,24 @@
             }
         }
 
+        private fun addUpgrade(chance: Random) {
+            var turn = chance.nextDouble(10.0, 25.0)
+            for (node in (0 until NODES).shuffled(chance)) {
+                at(turn, "upgrade n$node")
+                at(turn + chance.nextDouble(0.5, 5.0), "start n$node")
+                turn += chance.nextDouble(1.0, 12.0)
+            }
+            at(turn + chance.nextDouble(0.0, 20.0), "lower-limits")
+            for (i in 1..jobs / GANGS_PART) {
+                val from = Math.round(chance.nextDouble(turn, LAST - 15.0) * 100) / 100.0
+                val zones = if (chance.nextBoolean()) " oneZone=true" else ""
+                val team = "t${chance.nextInt(TEAMS)}"
+                events.add(
+                    from to "submit wk-${1_000_000 + i} kind=gang team=$team tasks=${chance.nextInt(2, 40)} run=${chance.nextInt(2, 25)}$zones insist=true",
+                )
+            }
+        }
+
         private fun at(seconds: Double, what: String) = troubles.add(seconds to what)
 
         private fun switch(what: String, from: Double, until: Double, off: String = "off") {
@@ -147,6 +174,8 @@
 
     private companion object {
         const val DAYS = 8L
+        const val UPGRADE_DAYS = 4L
+        const val GANGS_PART = 10
         const val NODES = 3
         const val TEAMS = 6
         const val LAST = 110.0
