--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -335,7 +335,7 @@
         val now = clock.now()
         compareWithIndex(now)
         chargeIfDue(now)
-        commands.greet(now)
+        commands.announceToken(now)
         lifecycle.tick(now)
         // Waiting may itself let work start: after a failure's pause, or once it has waited long enough to preempt.
         if (sliceState.jobs.values.any { it.waitingCount > 0 }) sliceState.placeWanted = true
--- a/src/main/kotlin/io/reedmast/workers/Commands.kt
+++ b/src/main/kotlin/io/reedmast/workers/Commands.kt
@@ -14,20 +14,13 @@
 class Commands(private val sliceState: SliceState, private val out: Gateway, private val take: (Machine, Report) -> Unit) {
     private val log = LoggerFactory.getLogger("slice")
     private val outbox = LinkedHashMap<Machine, MutableList<Order>>()
-    private var greetDue = 0L
-    private var greeting = false
+    private val announcer = TokenAnnouncer(sliceState, out, ::answered)
 
-    /**
-     * The slice has just been taken: workers whose address is known are shown our token at once.
-     *
-     * Without it a machine takes no work before it has reported twice, which is several seconds for each failover.
-     */
-    fun begin() {
-        greetDue = sliceState.clock.now() + GREET_AFTER_MS
-        for (machine in sliceState.machines.values.toList()) {
-            if (!machine.trusted && machine.retirement == null) greet(machine, machine.addr ?: continue, machine.session, again = true)
-        }
-    }
+    /** The slice has just been taken. */
+    fun begin() = announcer.begin()
+
+    /** Called now and then: shows our token to machines that have not reported since the slice was taken. */
+    fun announceToken(now: Long) = announcer.tick(now)
 
     fun launch(placement: Placement) {
         if (placement.machine.trusted) outbox.getOrPut(placement.machine) { ArrayList() }.add(Order.Launch(placement.id, placement.attempt))
@@ -35,8 +28,10 @@
 
     /** Stops an attempt, and with a task of a gang all of it: each has to save at the same time. */
     fun stop(placement: Placement, reason: StopReason) {
+        val begins = placement.stopReason == null
         stopOne(placement, reason)
-        if (placement.job.spec.gang) placement.job.placements().filter { it.stopReason == null }.toList().forEach { stopOne(it, reason) }
+        // Whatever stopped the first of them has stopped all.
+        if (begins && placement.job.spec.gang) placement.job.placements().filter { it.stopReason == null }.toList().forEach { stopOne(it, reason) }
     }
 
     private fun stopOne(placement: Placement, reason: StopReason) {
@@ -110,45 +105,8 @@
         }
     }
 
-    /**
-     * Shows our token to machines that have not reported since the slice was taken.
-     *
-     * Their workers may still report to the old owner, which answers them as long as it does not know better; having seen
-     * our token they drop its answers, and its commands reach them no more.
-     */
-    fun greet(now: Long) {
-        if (greetDue == 0L || now < greetDue || greeting) return
-        if (sliceState.machines.values.none { toGreet(it) }) {
-            if (now - sliceState.activeAt > GREET_FOR_MS) greetDue = 0L
-            return
-        }
-        greeting = true
-        greetDue = now + GREET_EVERY_MS
-        out.listHosts { hosts ->
-            greeting = false
-            if (sliceState.dropped) return@listHosts
-            for (host in hosts.orEmpty()) {
-                val machine = sliceState.machines[host.name]?.takeIf { toGreet(it) } ?: continue
-                greet(machine, host.addr ?: continue, machine.session, again = true)
-            }
-        }
-    }
-
-    private fun toGreet(machine: Machine) = !machine.trusted && machine.retirement == null && machine.placements.isNotEmpty()
-
-    private fun greet(machine: Machine, addr: String, session: Long, again: Boolean) {
-        out.direct(addr, sliceState.tokenFor(machine), session, emptyList()) { reply ->
-            val report = (reply as? Reply.Answer)?.let { answered(machine, it) }
-            // Refused for its session, which the answer tells.
-            if (report != null && again && report.token < sliceState.token) greet(machine, addr, report.session, again = false)
-        }
-    }
-
     private companion object {
         const val MAX_DIRECT_CALLS = 3
         const val GRACE_SLACK_S = 1.0
-        const val GREET_AFTER_MS = 2_500L
-        const val GREET_EVERY_MS = 4_000L
-        const val GREET_FOR_MS = 30_000L
     }
 }
