--- a/src/test/kotlin/io/reedmast/jobs/JobIndexTest.kt
+++ b/src/test/kotlin/io/reedmast/jobs/JobIndexTest.kt
@@ -1,13 +1,7 @@
 package io.reedmast.jobs
 
-import io.reedmast.settings.CloudLimits
-import io.reedmast.settings.Member
-import io.reedmast.settings.NodeIndex
-import io.reedmast.settings.Settings
-import io.reedmast.settings.StateLimits
-import io.reedmast.settings.TeamShare
-import io.reedmast.settings.WorkerRules
 import io.reedmast.sim.World
+import io.reedmast.sim.testSettings
 import io.reedmast.state.Event
 import io.reedmast.state.Item
 import io.reedmast.wire.Fields
@@ -21,23 +15,7 @@
 
 /** Whatever order the watch, readings and late answers come in, the index holds a job exactly as long as it is unfinished. */
 class JobIndexTest {
-    private val settings = Settings(
-        label = "n0",
-        front = World.address(0, 8080),
-        clusterListen = World.address(0, 8081),
-        members = listOf(Member("n0", World.address(0, 8081))),
-        self = NodeIndex(0),
-        cloud = "10.2.0.2:1",
-        state = "10.2.0.1:1",
-        zones = listOf("x"),
-        teams = listOf(TeamShare("a", 8.0, 12.0, 0.0, 0.0)),
-        objectives = emptyList(),
-        workers = WorkerRules(3.0, 16.0, 41.0),
-        stateLimits = StateLimits(100.0, 50.0, 8192, 16),
-        nextStateLimits = null,
-        cloudLimits = CloudLimits(2.0, 5.0),
-        maxConnections = 100,
-    )
+    private val settings = testSettings()
     private val index = JobIndex(settings) { emptyList() }
     private val path = "j/live/0/wk-1"
 
--- a/src/test/kotlin/io/reedmast/jobs/PageDivisionTest.kt
+++ b/src/test/kotlin/io/reedmast/jobs/PageDivisionTest.kt
@@ -1,18 +1,14 @@
 package io.reedmast.jobs
 
 import io.reedmast.ports.Clock
-import io.reedmast.settings.CloudLimits
-import io.reedmast.settings.Member
-import io.reedmast.settings.NodeIndex
-import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
 import io.reedmast.settings.StateLimits
 import io.reedmast.settings.TeamIndex
 import io.reedmast.settings.TeamShare
 import io.reedmast.settings.Tuning
-import io.reedmast.settings.WorkerRules
 import io.reedmast.sim.RecordingGateway
 import io.reedmast.sim.World
+import io.reedmast.sim.testSettings
 import io.reedmast.state.Change
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
@@ -36,22 +32,10 @@
 
         override fun wall() = now
     }
-    private val settings = Settings(
-        label = "n0",
-        front = World.address(0, 8080),
-        clusterListen = World.address(0, 8081),
-        members = listOf(Member("n0", World.address(0, 8081))),
-        self = NodeIndex(0),
-        cloud = "10.2.0.2:1",
-        state = "10.2.0.1:1",
-        zones = listOf("x"),
-        teams = listOf(TeamShare("a", 800.0, 1200.0, 0.0, 0.0)),
-        objectives = emptyList(),
-        workers = WorkerRules(3.0, 16.0, 41.0),
+    private val settings = testSettings(
+        team = TeamShare("a", 800.0, 1200.0, 0.0, 0.0),
         stateLimits = StateLimits(100.0, 50.0, 32 * 1024, 16),
         nextStateLimits = StateLimits(100.0, 35.0, 2 * 1024, 5),
-        cloudLimits = CloudLimits(2.0, 5.0),
-        maxConnections = 100,
     )
     private val out = RecordingGateway()
     private val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits).apply { lower() }
--- a/src/test/kotlin/io/reedmast/ownership/TakeoverTest.kt
+++ b/src/test/kotlin/io/reedmast/ownership/TakeoverTest.kt
@@ -1,17 +1,10 @@
 package io.reedmast.ownership
 
 import io.reedmast.ports.Clock
-import io.reedmast.settings.CloudLimits
-import io.reedmast.settings.Member
-import io.reedmast.settings.NodeIndex
-import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
-import io.reedmast.settings.StateLimits
-import io.reedmast.settings.TeamShare
 import io.reedmast.settings.Tuning
-import io.reedmast.settings.WorkerRules
 import io.reedmast.sim.RecordingGateway
-import io.reedmast.sim.World
+import io.reedmast.sim.testSettings
 import io.reedmast.state.Change
 import io.reedmast.state.Event
 import io.reedmast.state.Keys
@@ -30,23 +23,7 @@
 
         override fun wall() = now
     }
-    private val settings = Settings(
-        label = "n0",
-        front = World.address(0, 8080),
-        clusterListen = World.address(0, 8081),
-        members = listOf("n0", "n1").mapIndexed { i, label -> Member(label, World.address(i, 8081)) },
-        self = NodeIndex(0),
-        cloud = "10.2.0.2:1",
-        state = "10.2.0.1:1",
-        zones = listOf("x"),
-        teams = listOf(TeamShare("a", 8.0, 12.0, 0.0, 0.0)),
-        objectives = emptyList(),
-        workers = WorkerRules(3.0, 16.0, 41.0),
-        stateLimits = StateLimits(100.0, 50.0, 8192, 16),
-        nextStateLimits = null,
-        cloudLimits = CloudLimits(2.0, 5.0),
-        maxConnections = 100,
-    )
+    private val settings = testSettings(nodes = listOf("n0", "n1"))
     private val out = RecordingGateway()
     private val cluster = Cluster(settings, Tuning(), clock, out, LimitsInForce(settings.stateLimits), { emptyList() }, "n0-1")
     private val key = Keys.slice(0)
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/TestSettings.kt
@@ -0,0 +1,33 @@
+package io.reedmast.sim
+
+import io.reedmast.settings.CloudLimits
+import io.reedmast.settings.Member
+import io.reedmast.settings.NodeIndex
+import io.reedmast.settings.Settings
+import io.reedmast.settings.StateLimits
+import io.reedmast.settings.TeamShare
+import io.reedmast.settings.WorkerRules
+
+/** Settings of controller n0 among [nodes], with one team and one zone, for tests of one class alone. */
+fun testSettings(
+    nodes: List<String> = listOf("n0"),
+    team: TeamShare = TeamShare("a", 8.0, 12.0, 0.0, 0.0),
+    stateLimits: StateLimits = StateLimits(100.0, 50.0, 8192, 16),
+    nextStateLimits: StateLimits? = null,
+) = Settings(
+    label = "n0",
+    front = World.address(0, 8080),
+    clusterListen = World.address(0, 8081),
+    members = nodes.mapIndexed { i, label -> Member(label, World.address(i, 8081)) },
+    self = NodeIndex(0),
+    cloud = "10.2.0.2:1",
+    state = "10.2.0.1:1",
+    zones = listOf("x"),
+    teams = listOf(team),
+    objectives = emptyList(),
+    workers = WorkerRules(3.0, 16.0, 41.0),
+    stateLimits = stateLimits,
+    nextStateLimits = nextStateLimits,
+    cloudLimits = CloudLimits(2.0, 5.0),
+    maxConnections = 100,
+)
--- a/src/test/kotlin/io/reedmast/workers/CommandsTest.kt
+++ b/src/test/kotlin/io/reedmast/workers/CommandsTest.kt
@@ -5,18 +5,12 @@
 import io.reedmast.jobs.SliceState
 import io.reedmast.jobs.StopReason
 import io.reedmast.ports.Clock
-import io.reedmast.settings.CloudLimits
-import io.reedmast.settings.Member
-import io.reedmast.settings.NodeIndex
-import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
-import io.reedmast.settings.StateLimits
 import io.reedmast.settings.TeamIndex
-import io.reedmast.settings.TeamShare
 import io.reedmast.settings.Tuning
-import io.reedmast.settings.WorkerRules
 import io.reedmast.sim.RecordingGateway
 import io.reedmast.sim.World
+import io.reedmast.sim.testSettings
 import io.reedmast.wire.MachineType
 import io.reedmast.wire.Order
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -29,23 +23,7 @@
         override fun wall() = 10_000L
     }
     private val machineType = MachineType("m", 4.0, 0.0, 64.0, 50.0, 0.5, 1.0, 0.3, 5.0, listOf("x"))
-    private val settings = Settings(
-        label = "n0",
-        front = World.address(0, 8080),
-        clusterListen = World.address(0, 8081),
-        members = listOf(Member("n0", World.address(0, 8081))),
-        self = NodeIndex(0),
-        cloud = "10.2.0.2:1",
-        state = "10.2.0.1:1",
-        zones = listOf("x"),
-        teams = listOf(TeamShare("a", 8.0, 12.0, 0.0, 0.0)),
-        objectives = emptyList(),
-        workers = WorkerRules(3.0, 16.0, 41.0),
-        stateLimits = StateLimits(100.0, 50.0, 8192, 16),
-        nextStateLimits = null,
-        cloudLimits = CloudLimits(2.0, 5.0),
-        maxConnections = 100,
-    )
+    private val settings = testSettings()
     private val out = RecordingGateway()
     private val sliceState = SliceState(SliceIndex(0), settings, Tuning(), clock, { listOf(machineType) }, { true })
     private val commands = Commands(sliceState, out) { _, _ -> }
