--- a/src/main/kotlin/io/reedmast/app/Main.kt
+++ b/src/main/kotlin/io/reedmast/app/Main.kt
@@ -5,15 +5,21 @@
 import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.obj
 import com.github.ajalt.clikt.core.parse
+import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.check
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.double
+import io.reedmast.deploy.RolloutFile
+import io.reedmast.deploy.RolloutFileException
+import io.reedmast.ownership.ClusterFeatures
 import io.reedmast.peers.PeerServer
 import io.reedmast.ports.Clock
+import io.reedmast.rollout.RolloutOptions
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SettingsException
 import io.reedmast.settings.Tuning
@@ -29,6 +35,9 @@
 /** Flags or settings that cannot be used. */
 private const val EXIT_USAGE = 2
 
+/** The cluster has been rolled out to something that this version cannot read. */
+private const val EXIT_UNFIT = 3
+
 private object SystemClock : Clock {
     override fun now(): Long = System.nanoTime() / 1_000_000
 
@@ -48,6 +57,12 @@
         help = "How long an empty ordinary machine is kept, in seconds (default: worked out from boot and fetch times)",
         metavar = "SECONDS",
     ).double().check("must be above 0") { it > 0 && it.isFinite() }
+    private val rollout by option(
+        "--rollout",
+        envvar = "REEDMAST_ROLLOUT",
+        help = "File (JSON) of the features that the cluster is to have (default: none is changed)",
+        metavar = "FILE",
+    )
     private val rehearse by option(help = "Stop after this time: the build records the classes that start-up loads", metavar = "SECONDS").double()
 
     private fun seconds(name: String, value: Double, help: String) =
@@ -60,6 +75,9 @@
         versionOption(Reedmast::class.java.`package`?.implementationVersion ?: "development", names = setOf("--version"))
     }
 
+    /** Without a subcommand it runs a controller. */
+    override val invokeWithoutSubcommand = true
+
     override fun help(context: Context): String =
         "Runs one controller of a reedmast cluster. LOG_LEVEL (error, info, debug) says how much is logged to standard error."
 
@@ -68,17 +86,38 @@
             try {
                 Settings.load(Path.of(config)).let { if (rehearse == null) it else onAnyPorts(it) }
             } catch (e: SettingsException) {
-                System.err.println("reedmast: ${e.message}")
-                throw ProgramResult(EXIT_USAGE)
+                unusable(e.message)
             }
+        if (currentContext.invokedSubcommand != null) {
+            currentContext.obj = settings
+            return
+        }
+        runController(settings, rolloutOptions())
+    }
+
+    private fun unusable(message: String?): Nothing {
+        System.err.println("reedmast: $message")
+        throw ProgramResult(EXIT_USAGE)
+    }
+
+    private fun rolloutOptions(): RolloutOptions {
+        val file = rollout ?: return RolloutOptions(ClusterFeatures.registry)
+        return try {
+            RolloutFile.load(Path.of(file), ClusterFeatures.registry)
+        } catch (e: RolloutFileException) {
+            unusable(e.message)
+        }
+    }
+
+    private fun runController(settings: Settings, rolloutOptions: RolloutOptions) {
         val log = LoggerFactory.getLogger("main")
         val eventLoop = EventLoop(SystemClock, MAX_QUEUED)
         val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits)
         val client = StateClient(settings.state, limits, settings.members.size, Caller(STATE_CONNECT_MS, STATE_READ_MS))
         // Time of day and process start tell two processes of a node apart.
         val incarnation = "${settings.label}-${java.lang.Long.toString(SystemClock.wall(), 36)}-${java.lang.Long.toString(System.nanoTime(), 36)}"
-        val out = NetworkGateway(settings, eventLoop, client, limits, incarnation)
-        val controller = Controller(settings, Tuning(window, protectCap, resize, totals, idle), SystemClock, out, limits, incarnation)
+        val out = NetworkGateway(settings, eventLoop, client, limits, incarnation, ::endUnfit)
+        val controller = Controller(settings, Tuning(window, protectCap, resize, totals, idle), SystemClock, out, limits, incarnation, rolloutOptions)
         val timings = Timings(SystemClock)
         val node = Node(eventLoop, controller, timings)
         try {
@@ -87,8 +126,7 @@
             val listening = peers.open()
             NetworkGateway.startThread("peers") { peers.run(listening) }
         } catch (e: IOException) {
-            System.err.println("reedmast: cannot listen on front ${settings.front} or cluster_listen ${settings.clusterListen}: ${e.message}")
-            throw ProgramResult(EXIT_USAGE)
+            unusable("cannot listen on front ${settings.front} or cluster_listen ${settings.clusterListen}: ${e.message}")
         }
         out.start()
         Watches(client, SystemClock, node).start()
@@ -104,6 +142,12 @@
         }
     }
 
+    /** The process stops at once: whatever it still has in hand, it could not do rightly. */
+    private fun endUnfit(reason: String) {
+        System.err.println("reedmast: $reason")
+        exitProcess(EXIT_UNFIT)
+    }
+
     /** A rehearsal serves nobody: on ports of its own it would fail, and the build with it, beside another build. */
     private fun onAnyPorts(settings: Settings) = settings.copy(
         front = InetSocketAddress(settings.front.address, 0),
@@ -131,7 +175,7 @@
 
 fun main(args: Array<String>) {
     configureLogging()
-    val command = Reedmast()
+    val command = Reedmast().subcommands(RolloutCommand())
     try {
         command.parse(args)
     } catch (e: CliktError) {
--- a/src/main/kotlin/io/reedmast/app/NetworkGateway.kt
+++ b/src/main/kotlin/io/reedmast/app/NetworkGateway.kt
@@ -36,6 +36,7 @@
     private val client: StateClient,
     limits: LimitsInForce,
     incarnation: String,
+    private val onEnd: (reason: String) -> Unit,
 ) : Gateway {
     private val log = LoggerFactory.getLogger("cloud")
     private val committer =
@@ -157,6 +158,8 @@
         done,
     )
 
+    override fun endProcess(reason: String) = onEnd(reason)
+
     override fun expectMachines(count: Int) {
         scarceSockets = count > settings.maxConnections * SCARCE_AT
     }
--- a/src/main/kotlin/io/reedmast/app/Node.kt
+++ b/src/main/kotlin/io/reedmast/app/Node.kt
@@ -3,10 +3,12 @@
 import io.reedmast.fleet.Leader
 import io.reedmast.jobs.JobRequests
 import io.reedmast.ownership.Cluster
+import io.reedmast.ownership.ClusterFeatures
 import io.reedmast.ownership.Token
 import io.reedmast.peers.PeerMessage
 import io.reedmast.ports.Clock
 import io.reedmast.ports.Gateway
+import io.reedmast.rollout.RolloutOptions
 import io.reedmast.settings.Settings
 import io.reedmast.settings.Tuning
 import io.reedmast.state.Event
@@ -37,11 +39,12 @@
     private val out: Gateway,
     limits: LimitsInForce,
     incarnation: String,
+    rollout: RolloutOptions = RolloutOptions(ClusterFeatures.registry),
 ) {
     private var machineTypes: Map<String, MachineType> = emptyMap()
     private var machineTypesAsked = false
     private var machineTypesDue = 0L
-    val cluster = Cluster(settings, tuning, clock, out, limits, { machineTypes.values }, incarnation)
+    val cluster = Cluster(settings, tuning, clock, out, limits, { machineTypes.values }, incarnation, rollout)
     private val leader = Leader(settings, tuning, clock, out, cluster, { machineTypes }, incarnation)
     private val jobs = JobRequests(settings, clock, out, limits, cluster) { machineTypes }
 
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/app/RolloutCommand.kt
@@ -0,0 +1,137 @@
+package io.reedmast.app
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.requireObject
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import io.reedmast.ownership.ClusterFeatures
+import io.reedmast.ownership.StoredClusterRecords
+import io.reedmast.rollout.Act
+import io.reedmast.rollout.ActResult
+import io.reedmast.rollout.FeatureName
+import io.reedmast.rollout.MigrationProgress
+import io.reedmast.rollout.Readiness
+import io.reedmast.rollout.RolloutAdministration
+import io.reedmast.rollout.RolloutStatus
+import io.reedmast.rollout.Target
+import io.reedmast.rollout.isDraining
+import io.reedmast.settings.Settings
+import java.time.Instant
+
+/** An act was refused, or a controller is not ready to be stopped. */
+private const val EXIT_REFUSED = 1
+
+/** `reedmast rollout`: questions and acts of operators, carried out through the state service. */
+class RolloutCommand : CoreCliktCommand("rollout") {
+    init {
+        subcommands(
+            StatusCommand(),
+            WishCommand("enable", Target.ENABLED, "Enable a feature as soon as every controller understands it"),
+            WishCommand("finalize", Target.FINALIZED, "Finalize a feature once all records are migrated; it cannot be taken back then"),
+            WishCommand("revert", Target.DORMANT, "Take a feature back: migrated records get their old form again"),
+            ControllerCommand("exclude", "Do not count a controller that is silent") { name, act, done -> exclude(name, act, done) },
+            ControllerCommand("include", "Count an excluded controller again") { name, act, done -> include(name, act, done) },
+            ControllerCommand("drain", "Have a controller give its slices up before it is stopped") { name, act, done -> drain(name, act, done) },
+            ControllerCommand("undrain", "Have a drained controller take slices again") { name, _, done -> endDrain(name, done) },
+            ReadyCommand(),
+        )
+    }
+
+    override fun help(context: Context): String = "Shows and directs the rollout of features."
+
+    override fun run() = Unit
+}
+
+/** What every command of this family has. */
+abstract class AdministrationCommand(name: String, private val helpText: String) : CoreCliktCommand(name) {
+    private val settings by requireObject<Settings>()
+
+    override fun help(context: Context): String = helpText
+
+    protected fun administration(): RolloutAdministration {
+        val incarnation = "operator-${java.lang.Long.toString(System.currentTimeMillis(), RADIX)}-${ProcessHandle.current().pid()}"
+        val configured = settings.members.mapTo(HashSet()) { it.label }
+        val records = StoredClusterRecords(settings.slices)
+        return RolloutAdministration(ClusterFeatures.registry, configured, records, System::currentTimeMillis, DirectStore(settings, incarnation))
+    }
+
+    protected fun refuse(reason: String): Nothing {
+        System.err.println("reedmast: $reason")
+        throw ProgramResult(EXIT_REFUSED)
+    }
+
+    protected fun report(result: ActResult) = when (result) {
+        ActResult.Done -> println("done")
+        is ActResult.Refused -> refuse(result.reason)
+    }
+
+    private companion object {
+        const val RADIX = 36
+    }
+}
+
+private class StatusCommand : AdministrationCommand("status", "Print gates, migrations and controllers") {
+    override fun run() = administration().status { status ->
+        if (status == null) refuse("the state service does not answer, or its records cannot be read")
+        lines(status).forEach(::println)
+    }
+
+    private fun lines(status: RolloutStatus): List<String> = gates(status) + controllers(status) + history(status)
+
+    private fun gates(status: RolloutStatus): List<String> = ClusterFeatures.registry.inOrder.map { feature ->
+        val record = status.view.gates.record
+        val state = status.picture.stateOf(feature.name, record).storedName
+        val progress = status.picture.unitsOf(feature).mapNotNull { unit -> status.view.progressOf(feature.name, unit)?.let { unit.key to it.progress } }
+        val migration = progress.joinToString("") { (unit, of) -> " [$unit: ${describe(of)}]" }
+        "feature ${feature.name}: $state$migration" + status.waiting[feature.name]?.let { "; waits: $it" }.orEmpty()
+    }
+
+    private fun describe(progress: MigrationProgress): String {
+        val blocked = if (progress.unreadable + progress.oversized == 0L) "" else ", ${progress.unreadable} unreadable, ${progress.oversized} oversized"
+        return "${progress.direction.storedName} ${progress.migrated}$blocked${if (progress.complete) ", complete" else ""}"
+    }
+
+    private fun controllers(status: RolloutStatus): List<String> = status.picture.configured.sorted().map { label ->
+        val versions = status.picture.present[label]?.versions
+        val slices = status.picture.slices.withIndex().filter { it.value?.owner == label }.map { it.index }
+        val excluded = status.view.gates.record.excluded[label]?.let { ", excluded by ${it.by}: ${it.why}" }.orEmpty()
+        val drain = if (status.isDraining(label)) ", draining" else ""
+        "controller $label: ${versions?.let { "versions ${it.range}" } ?: "silent"}, slices $slices$drain$excluded"
+    }
+
+    private fun history(status: RolloutStatus): List<String> =
+        status.view.gates.record.history.map { "${Instant.ofEpochMilli(it.made.atMs)} ${it.what} by ${it.made.by}: ${it.made.why}" }
+}
+
+private class WishCommand(name: String, private val target: Target, helpText: String) : AdministrationCommand(name, helpText) {
+    private val feature by argument("FEATURE")
+    private val by by option("--by", help = "Who asks for it").required()
+    private val why by option("--why", help = "The reason, which is kept").required()
+
+    override fun run() = administration().wish(FeatureName(feature), target, Act(by, why), ::report)
+}
+
+private class ControllerCommand(name: String, helpText: String, private val act: RolloutAdministration.(String, Act, (ActResult) -> Unit) -> Unit) :
+    AdministrationCommand(name, helpText) {
+    private val controller by argument("CONTROLLER")
+    private val by by option("--by", help = "Who asks for it").default("operator")
+    private val why by option("--why", help = "The reason, which is kept").required()
+
+    override fun run() = administration().act(controller, Act(by, why), ::report)
+}
+
+private class ReadyCommand : AdministrationCommand("ready", "Say whether a controller may be stopped now: exit code 0, or 1 and the reasons") {
+    private val controller by argument("CONTROLLER")
+
+    override fun run() = administration().readiness(controller) { readiness ->
+        when (readiness) {
+            Readiness.Ready -> println("$controller may be stopped")
+            is Readiness.NotReady -> refuse("$controller must not be stopped: ${readiness.reasons.joinToString("; ")}")
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/deploy/RolloutFile.kt
@@ -0,0 +1,93 @@
+package io.reedmast.deploy
+
+import com.github.erosb.jsonsKema.JsonParseException
+import com.github.erosb.jsonsKema.JsonParser
+import com.github.erosb.jsonsKema.SchemaLoader
+import com.github.erosb.jsonsKema.ValidationFailure
+import com.github.erosb.jsonsKema.Validator
+import io.reedmast.rollout.FeatureName
+import io.reedmast.rollout.FeatureRegistry
+import io.reedmast.rollout.MigrationPace
+import io.reedmast.rollout.RolloutOptions
+import io.reedmast.rollout.Target
+import io.reedmast.wire.Fields
+import io.reedmast.wire.Tree
+import io.reedmast.wire.map
+import io.reedmast.wire.optionalAmount
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The deploy file of the rollout cannot be used; the message says which part of it, and why. */
+class RolloutFileException(message: String) : Exception(message)
+
+/** The operators' file of desired features, checked against its schema and against what this binary knows. */
+object RolloutFile {
+    private const val SCHEMA = "rollout.schema.json"
+
+    fun load(file: Path, registry: FeatureRegistry): RolloutOptions {
+        val text = try {
+            Files.readString(file)
+        } catch (e: IOException) {
+            throw RolloutFileException("cannot read rollout file $file: ${e.message}")
+        }
+        return try {
+            parse(text, registry)
+        } catch (e: RolloutFileException) {
+            throw RolloutFileException("$file: ${e.message}")
+        }
+    }
+
+    fun parse(text: String, registry: FeatureRegistry): RolloutOptions {
+        validate(text)
+        val fields = Tree.readJson(text.toByteArray())
+        val desired = fields.map("features").entries.associate { FeatureName(it.key) to Target.of(it.value.toString()) }
+        check(desired, registry)
+        return RolloutOptions(registry, desired, pace(fields))
+    }
+
+    private fun validate(text: String) {
+        val json = try {
+            JsonParser(text).parse()
+        } catch (e: JsonParseException) {
+            throw RolloutFileException("it is not JSON: ${e.message}")
+        }
+        val failure = Validator.forSchema(SchemaLoader(schema()).load()).validate(json) ?: return
+        throw RolloutFileException(describe(failure))
+    }
+
+    private fun schema(): String {
+        val resource = RolloutFile::class.java.getResourceAsStream(SCHEMA) ?: throw IllegalStateException("$SCHEMA is not in this program")
+        return resource.use { it.readAllBytes().decodeToString() }
+    }
+
+    /** The innermost failure says most. */
+    private fun describe(failure: ValidationFailure): String {
+        val innermost = generateSequence(failure) { it.causes.firstOrNull() }.last()
+        val location = innermost.instance.location
+        return "line ${location.lineNumber}, ${location.pointer}: ${innermost.message}"
+    }
+
+    /** What no controller could ever carry out is refused before it starts. */
+    private fun check(desired: Map<FeatureName, Target>, registry: FeatureRegistry) {
+        for ((name, target) in desired) {
+            val feature = registry[name]
+                ?: throw RolloutFileException("there is no feature $name; known are ${registry.inOrder.joinToString { it.name.value }}")
+            if (target == Target.DORMANT) continue
+            for (dependency in feature.dependsOn) {
+                val of = desired[dependency] ?: continue
+                if (of < target) throw RolloutFileException("$name cannot be ${target.storedName} while $dependency, which it depends on, is ${of.storedName}")
+            }
+        }
+    }
+
+    private fun pace(fields: Fields): MigrationPace {
+        val default = MigrationPace()
+        if (fields["pace"] == null) return default
+        val pace = fields.map("pace")
+        return MigrationPace(
+            pace.optionalAmount("record_every_ms")?.toLong() ?: default.everyMs,
+            pace.optionalAmount("least_budget") ?: default.leastFullness,
+        )
+    }
+}
--- a/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
+++ b/src/main/kotlin/io/reedmast/jobs/JobRequests.kt
@@ -69,7 +69,7 @@
         }
         val askedAt = clock.now()
         val slice = settings.sliceOf(team).value
-        val record = LiveRecord(spec, ProgressPage.chunkSizeFor(limits.target.valueBytes), clock.wall(), aborted = false).toFields()
+        val record = LiveRecord(spec, PageForm.chunkSizeFor(limits.target.valueBytes), clock.wall(), aborted = false).toFields()
         val path = Keys.live(slice, spec.jobId)
         // A late copy of a submission must not bring back a job that is over: its end is a condition too.
         val change =
--- a/src/main/kotlin/io/reedmast/jobs/PageRetirement.kt
+++ b/src/main/kotlin/io/reedmast/jobs/PageRetirement.kt
@@ -40,18 +40,21 @@
 
     private fun clear(page: ProgressPage, path: String) {
         page.writing = true
-        val guards = listOf(sliceState.termGuard, Guard(path, page.version))
+        val gates = sliceState.gates()
+        val form = PageForm.toWrite(gates, sliceState.limits.isLowered)
+        val guards = listOf(sliceState.termGuard, gates.guard, Guard(path, page.version))
         out.commit(
-            Change(guards, listOf(Write.Put(path, ProgressPage.EMPTY)), WritePriority.LAZY) { outcome ->
+            Change(guards, listOf(Write.Put(path, form.toFields(emptyList()))), WritePriority.LAZY) { outcome ->
                 page.writing = false
                 if (sliceState.dropped) return@Change
-                if (outcome is Outcome.Applied) cleared(page, outcome.revision) else reread(page, path)
+                if (outcome is Outcome.Applied) cleared(page, outcome.revision, form) else reread(page, path)
             },
         )
     }
 
-    private fun cleared(page: ProgressPage, revision: Long) {
+    private fun cleared(page: ProgressPage, revision: Long, form: PageForm) {
         page.version = revision
+        page.storedDense = form == PageForm.DENSE
         page.superseded.forEach { it.olderCopies-- }
         page.superseded.clear()
     }
--- a/src/main/kotlin/io/reedmast/jobs/ProgressPage.kt
+++ b/src/main/kotlin/io/reedmast/jobs/ProgressPage.kt
@@ -1,13 +1,7 @@
 package io.reedmast.jobs
 
 import io.reedmast.wire.Fields
-import io.reedmast.wire.MalformedException
-import io.reedmast.wire.count
-import io.reedmast.wire.list
-import io.reedmast.wire.maps
-import io.reedmast.wire.text
-import java.util.BitSet
-import java.util.HexFormat
+import java.util.EnumMap
 
 /**
  * One stored value with the progress of several jobs of a slice.
@@ -31,8 +25,10 @@
     var version = 0L
     var writing = false
     val chunks = LinkedHashSet<Chunk>()
-    var reserved = 0
-        private set
+    private val reserved = EnumMap<PageForm, Int>(PageForm::class.java)
+
+    /** Whether the state service holds it in the dense form. */
+    var storedDense = false
 
     /** Since when something in it is not stored, 0 if all is. */
     var dirtySince = 0L
@@ -49,87 +45,32 @@
     /** What waits for it to be stored. */
     var waiting = Waiting.NOTHING
 
-    fun hasRoom(chunk: Chunk, bytes: Int) = superseded.isEmpty() && reserved + reserve(chunk) <= bytes
+    /** The room that its chunks may come to take in [form]. */
+    fun reservedIn(form: PageForm): Int = reserved[form] ?: 0
+
+    fun hasRoom(chunk: Chunk, bytes: Int, form: PageForm) = superseded.isEmpty() && reservedIn(form) + form.reserveFor(chunk) <= bytes
 
     fun add(chunk: Chunk) {
         chunk.page = this
-        if (chunks.add(chunk)) reserved += reserve(chunk)
+        if (chunks.add(chunk)) PageForm.entries.forEach { reserved[it] = reservedIn(it) + it.reserveFor(chunk) }
     }
 
     fun remove(chunk: Chunk) {
-        if (chunks.remove(chunk)) reserved -= reserve(chunk)
+        if (chunks.remove(chunk)) PageForm.entries.forEach { reserved[it] = reservedIn(it) - it.reserveFor(chunk) }
     }
 
     /**
-     * [sized]: every controller reads chunks that say how many tasks they speak for. One that supersedes an older copy is stored
-     * even if it is empty, or the older one would seem to hold.
+     * Its value in [form], without the placements [left]. A chunk that supersedes an older copy is stored even if it is empty, or the older
+     * one would seem to hold.
      */
-    fun toFields(left: Set<Placement>, sized: Boolean): Fields = mapOf(
-        "chunks" to chunks.filter { it.placements.isNotEmpty() || !it.done.isEmpty || it.olderCopies > 0 }.map { fieldsOf(it, left, sized) },
+    fun toFields(left: Set<Placement>, form: PageForm): Fields =
+        form.toFields(chunks.filter { it.placements.isNotEmpty() || !it.done.isEmpty || it.olderCopies > 0 }.map { storedOf(it, left, form) })
+
+    private fun storedOf(chunk: Chunk, left: Set<Placement>, form: PageForm) = StoredChunk(
+        chunk.job.spec.jobId,
+        chunk.first,
+        chunk.size.takeIf { form != PageForm.UNSIZED },
+        chunk.done,
+        chunk.placements.values.filter { it !in left }.map { StoredPlacement(it.task, it.attempt, it.machine.name) },
     )
-
-    private fun fieldsOf(chunk: Chunk, left: Set<Placement>, sized: Boolean): Fields {
-        val fields = mapOf(
-            "job" to chunk.job.spec.jobId,
-            "first" to chunk.first,
-            "done" to HexFormat.of().formatHex(chunk.done.toByteArray()),
-            "on" to chunk.placements.values.filter { it !in left }.flatMap { listOf(it.task, it.attempt, it.machine.name) },
-        )
-        return if (sized) fields + (SIZE to chunk.size) else fields
-    }
-
-    /** One placement as it is stored. */
-    class Stored(val task: Int, val attempt: Long, val host: String)
-
-    /** One chunk as it is stored. */
-    class StoredChunk(
-        val jobId: String,
-        val first: Int,
-        /** How many tasks it speaks for; null in records of a version that knew only the size in the job's record. */
-        val size: Int?,
-        val done: BitSet,
-        val on: List<Stored>,
-    ) {
-        companion object {
-            fun parse(fields: Fields): StoredChunk {
-                val flat = fields.list("on")
-                if (flat.size % 3 != 0) throw MalformedException("on is cut short")
-                val on =
-                    flat.chunked(3).map { (task, attempt, host) ->
-                        Stored(
-                            (task as? Long)?.toInt() ?: throw MalformedException("task is no integer"),
-                            attempt as? Long ?: throw MalformedException("attempt is no integer"),
-                            host as? String ?: throw MalformedException("host is no text"),
-                        )
-                    }
-                val done =
-                    try {
-                        BitSet.valueOf(HexFormat.of().parseHex(fields.text("done")))
-                    } catch (e: IllegalArgumentException) {
-                        throw MalformedException("done is no bit set: ${e.message}")
-                    }
-                val size = if (fields[SIZE] == null) null else fields.count(SIZE).toInt()
-                return StoredChunk(fields.text("job"), fields.count("first").toInt(), size, done, on)
-            }
-        }
-    }
-
-    companion object {
-        /** Whether a version that divides pages for lowered limits has stored it. */
-        fun isSized(fields: Fields): Boolean = fields.maps("chunks").any { it[SIZE] != null }
-
-        private const val SIZE = "size"
-
-        /** The value of a page that holds nothing. */
-        val EMPTY: Fields = mapOf("chunks" to emptyList<Fields>())
-
-        /** The most that one placement takes: task, attempt and host name, with their commas. */
-        private const val BYTES_PER_PLACEMENT = 48
-        private const val BYTES_PER_CHUNK = 64
-
-        private fun reserve(chunk: Chunk) = BYTES_PER_CHUNK + chunk.job.spec.jobId.length + chunk.size * BYTES_PER_PLACEMENT + chunk.size / 4 + 1
-
-        /** Tasks that a chunk has at most, so that two of them fit one value. */
-        fun chunkSizeFor(valueBytes: Int): Int = maxOf(1, (valueBytes / 2 - 3 * BYTES_PER_CHUNK) / (BYTES_PER_PLACEMENT + 1))
-    }
 }
--- a/src/main/kotlin/io/reedmast/jobs/ProgressStore.kt
+++ b/src/main/kotlin/io/reedmast/jobs/ProgressStore.kt
@@ -1,6 +1,7 @@
 package io.reedmast.jobs
 
 import io.reedmast.ports.Gateway
+import io.reedmast.rollout.RecordAccess
 import io.reedmast.state.Change
 import io.reedmast.state.Fetched
 import io.reedmast.state.Guard
@@ -9,13 +10,8 @@
 import io.reedmast.state.Outcome
 import io.reedmast.state.Write
 import io.reedmast.state.WritePriority
-import io.reedmast.wire.Fields
 import io.reedmast.wire.JobState
-import io.reedmast.wire.MalformedException
-import io.reedmast.wire.Tree
-import io.reedmast.wire.maps
 import org.slf4j.LoggerFactory
-import java.util.BitSet
 
 /** What an owner's storing tells the rest of it. */
 interface Stored {
@@ -25,6 +21,9 @@
     /** The term may have moved on. */
     fun termInDoubt()
 
+    /** A gate of the rollout has moved. */
+    fun gatesInDoubt()
+
     /** A job's record has moved on, or was found anew. */
     fun recordChanged(path: String, item: Item?)
 
@@ -46,82 +45,23 @@
     private var endings = 0
 
     /** Whether what it holds is to be read again, since the limits were lowered after it was, and some of it is too large for them. */
-    val needsReload: Boolean get() = !dividedForLowered && sliceState.limits.isLowered && pages.any { page -> page.reserved > pageBytes || isTooLarge(page) }
-
-    private fun isTooLarge(page: ProgressPage): Boolean {
-        val most = ProgressPage.chunkSizeFor(sliceState.limits.target.valueBytes)
-        return page.chunks.any { it.size > most }
-    }
-
-    /**
-     * Stored pages as they were read; [place] takes up each placement. [chunkSizes] are those of the jobs' records.
-     *
-     * A page whose division is not today's is read, and its content goes to other pages: see [PageRetirement]. Until it has been
-     * cleared, two pages speak for the same tasks, and the newer one is right.
-     */
-    fun load(items: List<Item>, chunkSizes: Map<String, Int>, place: (Job, ProgressPage.Stored) -> Unit) {
-        val known = HashMap<Job, BitSet>()
-        for (item in items.sortedByDescending { it.version }) {
-            val index = item.path.substringAfterLast('/').toIntOrNull() ?: continue
-            while (pages.size <= index) pages.add(ProgressPage(pages.size))
-            val page = pages[index]
-            page.version = item.version
-            val chunks = ArrayList<ProgressPage.StoredChunk>()
-            reading(item.path) { for (chunk in item.value.maps("chunks")) reading(item.path) { readChunk(chunk)?.let { chunks.add(it) } } }
-            val divided = isDividedOtherwise(chunks, chunkSizes) || Tree.jsonSize(item.value) > sliceState.limits.allowed.valueBytes
-            for (chunk in chunks) load(chunk, page, divided, chunkSizes, known, place)
-        }
-    }
+    val needsReload: Boolean get() = isUndivided || pages.any { isOverfull(it) }
 
-    private fun readChunk(fields: Fields): ProgressPage.StoredChunk? {
-        val stored = ProgressPage.StoredChunk.parse(fields)
-        // A job that is over needs no clearing from its page: the next writing leaves it out.
-        val job = sliceState.jobs[stored.jobId] ?: return null
-        if (stored.first !in 0 until job.spec.taskCount) throw MalformedException("first is out of range")
-        return stored
-    }
+    private val isUndivided: Boolean
+        get() = !dividedForLowered && sliceState.limits.isLowered && pages.any { it.reservedIn(PageForm.SIZED) > pageBytes || isTooLarge(it) }
 
-    private fun isDividedOtherwise(chunks: List<ProgressPage.StoredChunk>, chunkSizes: Map<String, Int>): Boolean = chunks.any { stored ->
-        val chunk = sliceState.jobs.getValue(stored.jobId).chunkOf(stored.first)
-        chunk.page != null || chunk.first != stored.first || chunk.size != tasksOf(stored, chunkSizes).count()
-    }
-
-    /** The tasks that the chunk speaks for. */
-    private fun tasksOf(stored: ProgressPage.StoredChunk, chunkSizes: Map<String, Int>): IntRange {
-        val taskCount = sliceState.jobs.getValue(stored.jobId).spec.taskCount
-        val size = stored.size ?: chunkSizes[stored.jobId] ?: taskCount
-        return stored.first until minOf(taskCount, stored.first + size)
-    }
+    /** Whether it holds more than its plain form can, in which it is to be stored again: its content has to go to several pages. */
+    private fun isOverfull(page: ProgressPage): Boolean =
+        page.storedDense && page.reservedIn(PageForm.SIZED) > pageBytes && !sliceState.gates().writes(DensePages.FEATURE)
 
-    private fun load(
-        stored: ProgressPage.StoredChunk,
-        page: ProgressPage,
-        divided: Boolean,
-        chunkSizes: Map<String, Int>,
-        known: MutableMap<Job, BitSet>,
-        place: (Job, ProgressPage.Stored) -> Unit,
-    ) {
-        val job = sliceState.jobs.getValue(stored.jobId)
-        val tasks = tasksOf(stored, chunkSizes)
-        if (divided) tasks.mapTo(LinkedHashSet()) { job.chunkOf(it) }.forEach { retirement.supersede(page, it) } else page.add(job.chunkOf(stored.first))
-        // What is done stays done, whichever copy says so.
-        stored.done.stream().forEach { if (stored.first + it < job.spec.taskCount) job.markDone(stored.first + it) }
-        val newer = known.getOrPut(job) { BitSet() }
-        stored.on.forEach { if (it.task in 0 until job.spec.taskCount && !newer.get(it.task)) place(job, it) }
-        newer.set(tasks.first, tasks.last + 1)
-        sliceState.changed.add(job)
+    private fun isTooLarge(page: ProgressPage): Boolean {
+        val most = PageForm.chunkSizeFor(sliceState.limits.target.valueBytes)
+        return page.chunks.any { it.size > most }
     }
 
-    /**
-     * Reads one stored piece. Where it cannot be read, tasks may run that nobody knows of. Nothing is placed before their workers
-     * have been told to stop them, or have lost their leases.
-     */
-    private fun reading(path: String, read: () -> Unit) = try {
-        read()
-    } catch (e: MalformedException) {
-        log.error("slice {}: stored record {} cannot be read: {}", slice, path, e.message)
-        sliceState.placeNotBefore = sliceState.clock.now() + (sliceState.settings.workers.leaseS * LEASES_UNTIL_UNKNOWN_WORK_IS_GONE * 1000).toLong()
-    }
+    /** Takes up stored pages as they were read; [place] takes up each placement. [chunkSizes] are those of the jobs' records. */
+    fun load(items: List<Item>, chunkSizes: Map<String, Int>, place: (Job, StoredPlacement) -> Unit) =
+        PageReader(sliceState, pages, retirement, pageBytes, chunkSizes, place).load(items)
 
     /** Stores what differs from what is stored, as far as the limit on changes allows. */
     fun flush(now: Long) {
@@ -140,7 +80,7 @@
         endJobs()
         retirement.clear(pages, slice)
         var onTheirWay = pages.count { it.writing && it.waitedFor }
-        val due = pages.filter { it.dirtySince != 0L && !it.writing && now >= it.refusedUntil }
+        val due = pages.filter { it.dirtySince != 0L && !it.writing && now >= it.refusedUntil && !isOverfull(it) }
         for (page in due.sortedWith(compareBy({ -it.waiting.ordinal }, { it.dirtySince }))) {
             if (page.waiting != ProgressPage.Waiting.NOTHING) {
                 // Not to the last change that is allowed: an acceptance, whose user waits, takes one and should find it. Nor more at once
@@ -176,7 +116,8 @@
 
     /** Pages that are about to be written anyway come first, so that decisions of a moment share a put. */
     private fun pageFor(chunk: Chunk): ProgressPage {
-        val open = pages.filter { !it.writing && it.hasRoom(chunk, pageBytes) }
+        val form = PageForm.toWrite(sliceState.gates(), sliceState.limits.isLowered)
+        val open = pages.filter { !it.writing && it.hasRoom(chunk, pageBytes, form) }
         val page = open.firstOrNull { it.waiting != ProgressPage.Waiting.NOTHING } ?: open.firstOrNull { it.dirtySince != 0L } ?: open.firstOrNull()
         return (page ?: ProgressPage(pages.size).also { pages.add(it) }).also { it.add(chunk) }
     }
@@ -193,17 +134,22 @@
         page.dirtySince = if (left.isEmpty()) 0L else page.dirtySince
         page.waiting = if (left.isEmpty()) ProgressPage.Waiting.NOTHING else page.waiting
         page.writing = true
-        val guards = ArrayList<Guard>(jobs.size + 2)
+        // The form and the condition that it is the right one come from one look at the gates.
+        val gates = sliceState.gates()
+        val form = PageForm.toWrite(gates, sliceState.limits.isLowered)
+        val guards = ArrayList<Guard>(jobs.size + 3)
         guards.add(sliceState.termGuard)
+        guards.add(gates.guard)
         guards.add(Guard(path, page.version))
         jobs.mapTo(guards) { Guard(Keys.live(slice, it.spec.jobId), it.version) }
         out.commit(
-            Change(guards, listOf(Write.Put(path, page.toFields(left, sized = sliceState.limits.isLowered))), writePriority) { outcome ->
+            Change(guards, listOf(Write.Put(path, page.toFields(left, form))), writePriority) { outcome ->
                 page.writing = false
                 if (sliceState.dropped) return@Change
                 when (outcome) {
                     is Outcome.Applied -> {
                         page.version = outcome.revision
+                        page.storedDense = form == PageForm.DENSE
                         included.forEach { told.placed(it) }
                     }
 
@@ -236,6 +182,10 @@
     /** Something had moved on: the term, a job that its user has cancelled, or the page, if an answer of ours was lost. */
     private fun conflict(failed: Set<String>, page: ProgressPage?, included: List<Placement>) {
         if (Keys.slice(slice) in failed) told.termInDoubt()
+        if (Keys.ROLLOUT in failed) {
+            told.gatesInDoubt()
+            page?.refusedUntil = sliceState.clock.now() + REREAD_GATES_MS
+        }
         for (path in failed) {
             val jobId = path.removePrefix("${Keys.LIVE}$slice/").takeIf { it != path } ?: continue
             // Sent again as it is, it would only fail again: nothing is placed before the record is known.
@@ -299,6 +249,29 @@
         )
     }
 
+    /** Whether all that was decided is stored, and nothing is on its way to be. */
+    val isSettled: Boolean get() = endings == 0 && toEnd.isEmpty() && pages.none { it.writing || it.waiting != ProgressPage.Waiting.NOTHING }
+
+    /** How a migration gets at the pages: one that is to be stored anyway gets the wanted form by that. */
+    val access = object : RecordAccess {
+        override fun tryAcquire(path: String): Boolean {
+            val page = pageAt(path) ?: return true
+            if (page.writing || page.dirtySince != 0L) return false
+            page.writing = true
+            return true
+        }
+
+        override fun release(path: String, version: Long?) {
+            val page = pageAt(path) ?: return
+            page.writing = false
+            if (version == null) return
+            page.version = maxOf(page.version, version)
+            page.storedDense = sliceState.gates().writes(DensePages.FEATURE)
+        }
+
+        private fun pageAt(path: String): ProgressPage? = path.substringAfterLast('/').toIntOrNull()?.let { pages.getOrNull(it) }
+    }
+
     fun forget(job: Job) {
         toEnd.remove(job)
         for (chunk in job.chunks) {
@@ -325,6 +298,6 @@
         const val MAX_ENDINGS = 64
         const val REFUSED_MS = 30_000L
         const val REREAD_MS = 500L
-        const val LEASES_UNTIL_UNKNOWN_WORK_IS_GONE = 2.0
+        const val REREAD_GATES_MS = 150L
     }
 }
--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -5,12 +5,14 @@
 import io.reedmast.fleet.SpareMachines
 import io.reedmast.fleet.TotalsWriter
 import io.reedmast.gangs.GangCoordinator
+import io.reedmast.ownership.ClusterRollout
 import io.reedmast.ownership.SliceRecord
 import io.reedmast.peers.JobProgress
 import io.reedmast.peers.PeerMessage
 import io.reedmast.placement.Placer
 import io.reedmast.ports.Clock
 import io.reedmast.ports.Gateway
+import io.reedmast.rollout.MigrationUnit
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
 import io.reedmast.settings.Tuning
@@ -35,6 +37,9 @@
     val jobs: JobIndex
     val hostDirectory: HostDirectory
 
+    /** What is rolled out, and this controller's part in it. */
+    val rollout: ClusterRollout
+
     /** The machines that the records name for the slice, and the slices that they are to move to. */
     fun machinesOf(slice: SliceIndex): Map<HostRecord, Int?>
 
@@ -75,7 +80,7 @@
 ) {
     private val log = LoggerFactory.getLogger("slice")
     private val slice = index.value
-    val sliceState = SliceState(index, settings, tuning, clock, machineTypes, fresh, limits)
+    val sliceState = SliceState(index, settings, tuning, clock, machineTypes, fresh, limits) { records.rollout.gates }
     private val commands = Commands(sliceState, out) { machine, report -> reports.answered(machine, report) }
     private val gangs = GangCoordinator(sliceState, commands)
     private val reports: Reports = Reports(sliceState, commands, gangs) { records.renewToken(index) }
@@ -90,6 +95,7 @@
         MachineLifecycle(sliceState, out, commands, spareMachines, {
             records.removeHosts(index, it)
         }, { records.handOver(index, it) }, { records.requestTakeover(index) })
+    private val migration = records.rollout.reconciler(MigrationUnit.Slice(slice), progressStore.access)
     private var tellDue = 0L
     private var tellings = 0
 
@@ -137,7 +143,7 @@
 
     /** Only what knows that every controller reads such pages stores them. */
     private fun isSized(page: Item) = try {
-        ProgressPage.isSized(page.value)
+        PageForm.isSized(page.value)
     } catch (e: MalformedException) {
         // Reported where the page's content is read.
         false
@@ -249,7 +255,7 @@
 
     /** An earlier version stored progress in chunks that the lowered limits do not allow. */
     private fun chunkSizeOf(record: LiveRecord) =
-        if (limits.isLowered) minOf(record.chunkSize, ProgressPage.chunkSizeFor(limits.target.valueBytes)) else record.chunkSize
+        if (limits.isLowered) minOf(record.chunkSize, PageForm.chunkSizeFor(limits.target.valueBytes)) else record.chunkSize
 
     /** The record of the job is gone. What still runs of it, if anything could, is stopped. */
     fun jobGone(jobId: String) {
@@ -302,6 +308,8 @@
 
         override fun termInDoubt() = records.refresh(index)
 
+        override fun gatesInDoubt() = records.rollout.refreshGates()
+
         override fun recordChanged(path: String, item: Item?) {
             if (item == null) jobGone(path.substringAfterLast('/')) else records.jobs.see(path, item.value, item.version)
         }
@@ -329,10 +337,14 @@
         commands.send()
     }
 
+    /** Whether nothing of what was decided here is yet to be stored: the slice may then change hands without a trace. */
+    val isSettled: Boolean get() = active && progressStore.isSettled && !migration.inDoubt
+
     /** Called about four times a second. */
     fun tick() {
         if (!active || dropped) return
         val now = clock.now()
+        if (sliceState.fresh()) migration.tick(records.rollout.gates, sliceState.termGuard, records.rollout.view)
         compareWithIndex(now)
         chargeIfDue(now)
         commands.announceToken(now)
--- a/src/main/kotlin/io/reedmast/jobs/SliceState.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceState.kt
@@ -3,6 +3,7 @@
 import io.reedmast.fairshare.Usage
 import io.reedmast.fairshare.funded
 import io.reedmast.ports.Clock
+import io.reedmast.rollout.GateSnapshot
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
 import io.reedmast.settings.TeamIndex
@@ -29,6 +30,8 @@
     /** Whether this node has lately heard enough from the state service to act. */
     val fresh: () -> Boolean,
     val limits: LimitsInForce = LimitsInForce(settings.stateLimits, settings.nextStateLimits),
+    /** The gates of the rollout as they now stand. */
+    val gates: () -> GateSnapshot = { GateSnapshot.NONE },
 ) {
     var token = 0L
     var term = 0L
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -6,6 +6,7 @@
 import io.reedmast.peers.PeerMessage
 import io.reedmast.ports.Clock
 import io.reedmast.ports.Gateway
+import io.reedmast.rollout.RolloutOptions
 import io.reedmast.settings.Settings
 import io.reedmast.settings.SliceIndex
 import io.reedmast.settings.Tuning
@@ -36,6 +37,7 @@
     private val machineTypes: () -> Collection<MachineType>,
     /** Names this process; never used by another one. */
     incarnation: String,
+    rolloutOptions: RolloutOptions,
 ) : SliceRecords {
     private val log = LoggerFactory.getLogger("cluster")
     private val unreadable = Unreadable()
@@ -46,14 +48,14 @@
 
     /** How recent the view of the state service is. */
     val freshness = Freshness(clock, settings.workers)
-    private val membership = Membership(settings, clock, out)
     private val slices = SliceTable(settings.slices, out, ::sliceChanged)
+    override val rollout = ClusterRollout(settings, clock, out, limits, rolloutOptions, incarnation, slices) { reread(it) }
+    private val membership = Membership(settings, clock, out, ::memberFields) { rollout.gates.guard }
     private val machines = MachineTable(settings, clock, out, limits, { owners[it.value]?.syncHosts() }, hostDirectory::forget)
     private val contact = WorkerContact(clock, out)
     private val assignment = MachineAssignment(settings, out, limits, slices, machines, { membership.leaderVersion }, ::reread)
     private val takeover =
-        Takeover(settings, clock, out, freshness, membership, slices, machines, jobs, hostDirectory, contact, owners, ::newOwner) { reread(it) }
-    private val upgrade = UpgradeTracker(settings, out, limits)
+        Takeover(settings, clock, out, freshness, membership, slices, machines, jobs, hostDirectory, contact, rollout, owners, ::newOwner) { reread(it) }
     private var sharedLowered = false
     private val peerStatuses = PeerStatuses(settings.self, settings.members.size, incarnation)
     private var statusQueryDue = 0L
@@ -64,14 +66,17 @@
 
     private fun newOwner(slice: SliceIndex) = SliceOwner(slice, settings, tuning, clock, out, limits, machineTypes, ::fresh, this)
 
-    /** Whether this node has lately heard enough from the state service to decide anything. */
-    fun fresh(): Boolean = freshness.isFresh
+    private fun memberFields() = rollout.memberFields(ownsNothing = slices.countOf(settings.label) == 0)
+
+    /** Whether this node has lately heard enough from the state service to decide anything, and may. */
+    fun fresh(): Boolean = freshness.isFresh && rollout.isAdmitted
 
     /**
      * Whether this node may still answer workers with 200: it knows all cancellations that users were told of, up to a short
      * time ago, from the state service or, during an outage, from every other controller.
      */
     fun mayAnswerWorkers(): Boolean {
+        if (!rollout.mayAnswerWorkers) return false
         val known = freshness.knownAt ?: return false
         return freshness.isWithinFence(maxOf(known, peerStatuses.confirmedAt() ?: known))
     }
@@ -80,7 +85,7 @@
     fun outageForAll(): Boolean = peerStatuses.noneHearsState(clock.now())
 
     /** Whether requests of users can be taken. */
-    val ready: Boolean get() = freshness.loaded
+    val ready: Boolean get() = freshness.loaded && rollout.isAdmitted
 
     fun sliceOfHost(host: String): SliceIndex? = machines.sliceOf(host)
 
@@ -109,6 +114,7 @@
     /** All keys of the cluster, read at the start and after a gap in their watch; at least as new as [revision]. */
     fun snapshot(items: List<Item>, revision: Long, askedAt: Long) {
         membership.reset(revision)
+        rollout.reset()
         items.forEach { see(it.path, it.value, it.version) }
         membership.noteAbsent(items.mapTo(HashSet()) { it.path })
         if (!freshness.clusterLoaded) {
@@ -116,6 +122,7 @@
         }
         freshness.clusterHeard(askedAt)
         membership.shareLimits()
+        keepLease()
     }
 
     /** What the watch on the cluster's keys tells: all changes up to [revision]. */
@@ -142,7 +149,7 @@
     private fun see(path: String, value: Fields?, version: Long) {
         try {
             membership.see(path, value, version)
-            upgrade.see(path, value)
+            rollout.see(path, value, version)
             slices.see(path, value, version)
             machines.see(path, value, version)
         } catch (e: MalformedException) {
@@ -179,16 +186,18 @@
     // ---- time -------------------------------------------------------------------------------------------------------
 
     fun tick() {
-        membership.keepLease()
         freshness.resumeWaiters()
         if (!freshness.clusterLoaded) return
+        rollout.checkAdmission()
+        keepLease()
         val now = clock.now()
         queryPeers(now)
         machines.tick(now)
         if (fresh()) {
-            membership.claimKeys()
-            upgrade.tick()
+            membership.claimKeys(mayLead = !rollout.isDraining)
+            rollout.tick(membership.leaderVersion.takeIf { membership.leading })
             takeover.tick(now)
+            giveSlicesUp(now)
             divideForLoweredLimits()
         } else {
             takeover.outOfTouch(now)
@@ -196,6 +205,20 @@
         owned().forEach { it.tick() }
     }
 
+    /** Not before the gates are known: a process that must not take part renews nothing. */
+    private fun keepLease() {
+        if (rollout.isAdmitted) membership.keepLease()
+    }
+
+    private var giveUpDue = 0L
+
+    /** Before it is stopped, a drained controller has the others take its slices, each one when all that it decided there is stored. */
+    private fun giveSlicesUp(now: Long) {
+        if (!rollout.isDraining || now < giveUpDue) return
+        giveUpDue = now + GIVE_UP_EVERY_MS
+        owned().filter { it.isSettled }.forEach { requestTakeover(it.index) }
+    }
+
     /** Once no earlier version reads the records any more, what is too large for the lowered limits is stored anew in smaller parts. */
     private fun divideForLoweredLimits() {
         if (!limits.isLowered) return
@@ -251,7 +274,7 @@
 
     override fun requestTakeover(slice: SliceIndex) {
         val term = slices.records[slice.value]?.takeIf { it.record.owner == settings.label }?.version ?: return
-        log.info("slice {}: its workers are silent here; the other nodes are asked to take it", slice.value)
+        log.info("slice {}: the other nodes are asked to take it", slice.value)
         out.sendToPeers(PeerMessage.TakeoverRequest(slice, term))
     }
 
@@ -270,5 +293,6 @@
     private companion object {
         const val QUERY_PEERS_AFTER_MS = 3_500L
         const val QUERY_PEERS_EVERY_MS = 1_000L
+        const val GIVE_UP_EVERY_MS = 2_000L
     }
 }
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/ownership/ClusterRollout.kt
@@ -0,0 +1,122 @@
+package io.reedmast.ownership
+
+import io.reedmast.ports.Clock
+import io.reedmast.ports.Gateway
+import io.reedmast.rollout.Admission
+import io.reedmast.rollout.ClusterPicture
+import io.reedmast.rollout.GateSnapshot
+import io.reedmast.rollout.MemberVersions
+import io.reedmast.rollout.MigrationReconciler
+import io.reedmast.rollout.MigrationUnit
+import io.reedmast.rollout.RecordAccess
+import io.reedmast.rollout.RolloutCoordinator
+import io.reedmast.rollout.RolloutOptions
+import io.reedmast.rollout.RolloutView
+import io.reedmast.rollout.SliceOwnership
+import io.reedmast.settings.Settings
+import io.reedmast.state.Guard
+import io.reedmast.state.Keys
+import io.reedmast.state.LimitsInForce
+import io.reedmast.wire.Fields
+import org.slf4j.LoggerFactory
+
+/** This controller's part in the rollout of features: what it knows, publishes and, as the leader, decides. */
+class ClusterRollout(
+    private val settings: Settings,
+    private val clock: Clock,
+    private val out: Gateway,
+    private val limits: LimitsInForce,
+    private val options: RolloutOptions,
+    private val incarnation: String,
+    private val slices: SliceTable,
+    private val reread: (String) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("rollout")
+    private val store = GatewayStore(out)
+    private val formatGate = FormatGate(settings, out, limits)
+    private val configured = settings.members.mapTo(HashSet()) { it.label }
+    private var ending = false
+
+    /** What has been read of the rollout. */
+    val view = RolloutView(options.registry, settings.label)
+    private val coordinator = RolloutCoordinator(
+        options.registry,
+        settings.label,
+        clock::wall,
+        store,
+        view,
+        limits.target.opsPerCommit * LimitsInForce.CONDITIONS_PER_CHANGE,
+        ::refreshGates,
+    )
+    private val clusterMigration = reconciler(MigrationUnit.Cluster, UncontendedRecords)
+
+    /** The gates as they now stand; a decision asks once and keeps to the answer. */
+    val gates: GateSnapshot get() = view.gates
+
+    /** Whether this process takes part in the cluster: nothing is written or answered for it otherwise. */
+    val isAdmitted: Boolean get() = view.admission == Admission.Admitted
+
+    /** Whether workers may be answered: while the record cannot be read what runs goes on, but a process that does not fit is silent. */
+    val mayAnswerWorkers: Boolean get() = view.admission.let { it == Admission.Admitted || it is Admission.Withheld }
+
+    /** Whether an operator has ordered this process to give its slices up. */
+    val isDraining: Boolean get() = view.drainOf(settings.label)?.order?.incarnation == incarnation
+
+    /** The controllers whose processes are to give their slices up: they take none. */
+    fun draining(): Set<String> = view.members.filter { (label, member) ->
+        view.drainOf(label)?.order?.incarnation?.let { it == member.versions.incarnation }
+            ?: false
+    }.keys
+
+    /** The migration of one part of the records, for whoever may write them. */
+    fun reconciler(unit: MigrationUnit, access: RecordAccess) =
+        MigrationReconciler(unit, options.registry, store, access, options.pace, clock::now) { limits.allowed.valueBytes }
+
+    fun reset() = view.reset()
+
+    /** Takes up the value under [path], if it is one of the rollout's keys. */
+    fun see(path: String, value: Fields?, version: Long) {
+        formatGate.see(path, value)
+        view.see(path, value, version)
+    }
+
+    fun refreshGates() = reread(Keys.ROLLOUT)
+
+    /** What this controller publishes of itself under its lease. */
+    fun memberFields(ownsNothing: Boolean): Fields = mapOf("label" to settings.label) + FormatGate.fields() +
+        MemberVersions(options.registry.range, options.desired, incarnation, drained = isDraining && ownsNothing).toFields()
+
+    /** Called regularly once the cluster's keys have been read: ends this process if it must not go on, or asks that it count again. */
+    fun checkAdmission() {
+        when (val admission = view.admission) {
+            Admission.Admitted, is Admission.Withheld -> Unit
+            Admission.Excluded -> coordinator.rejoin()
+            is Admission.Unfit -> end(admission.reason)
+        }
+    }
+
+    private fun end(reason: String) {
+        if (ending) return
+        ending = true
+        log.error("this process must not go on: {}", reason)
+        out.endProcess(reason)
+    }
+
+    /** Called regularly while the state service is heard and this process is admitted; [leaderVersion] is null unless this node leads. */
+    fun tick(leaderVersion: Long?) {
+        formatGate.tick()
+        if (leaderVersion == null) return
+        coordinator.tick(leaderVersion, picture())
+        clusterMigration.tick(gates, Guard(Keys.LEADER, leaderVersion), view)
+    }
+
+    private fun picture(): ClusterPicture =
+        view.picture(configured, slices.records.map { stored -> stored?.let { SliceOwnership(it.record.owner, it.version) } }, formatGate.finalized)
+
+    /** Nobody keeps a copy of the cluster's records that a migration could make stale: whoever writes one reads it again after a conflict. */
+    private object UncontendedRecords : RecordAccess {
+        override fun tryAcquire(path: String): Boolean = true
+
+        override fun release(path: String, version: Long?) = Unit
+    }
+}
--- a/src/main/kotlin/io/reedmast/ownership/Membership.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Membership.kt
@@ -19,7 +19,15 @@
  *
  * Nobody's safety rests on it: it only chooses good moments for taking slices, and who rents machines.
  */
-class Membership(private val settings: Settings, private val clock: Clock, private val out: Gateway) {
+class Membership(
+    private val settings: Settings,
+    private val clock: Clock,
+    private val out: Gateway,
+    /** What this controller publishes of itself. */
+    private val memberFields: () -> Fields,
+    /** The condition that this process has heard of every move of the gates. */
+    private val gatesGuard: () -> Guard,
+) {
     private val log = LoggerFactory.getLogger("cluster")
     private val present = HashSet<String>()
     private val absentSince = HashMap<String, Long>()
@@ -29,6 +37,7 @@
     private var claimingLeader = false
     private var claimingNode = false
     private var nodeKeyLease: Long? = null
+    private var published: Fields? = null
 
     /** The label of the leader, if there is one. */
     var leader: String? = null
@@ -133,33 +142,50 @@
         }
     }
 
-    /** Puts this node's key under its lease, and the leader's if there is none. */
-    fun claimKeys() {
+    /** Puts this node's key under its lease, and the leader's if there is none and this node [mayLead]. */
+    fun claimKeys(mayLead: Boolean) {
         claimNode()
-        if (leader == null) claimLeader()
+        if (leader == null && mayLead) claimLeader()
+        if (leading && !mayLead) resign()
+    }
+
+    private var resigning = false
+
+    /** Another controller leads as soon as the key is gone. */
+    private fun resign() {
+        if (resigning) return
+        resigning = true
+        log.info("{} gives the lead up", settings.label)
+        out.commit(Change(listOf(Guard(Keys.LEADER, leaderVersion)), listOf(Write.Delete(Keys.LEADER))) { resigning = false })
     }
 
     private fun claimNode() {
         val held = lease ?: return
-        if (claimingNode || nodeKeyLease == held) return
+        val fields = memberFields()
+        if (claimingNode || (nodeKeyLease == held && published == fields)) return
         claimingNode = true
         out.get(Keys.node(settings.label)) { fetched ->
             when (fetched) {
-                is Fetched.Found -> putNode(held, fetched.item.version)
-                is Fetched.Missing -> putNode(held, 0L)
+                is Fetched.Found -> putNode(held, fields, fetched.item.version)
+                is Fetched.Missing -> putNode(held, fields, 0L)
                 is Fetched.Failed -> claimingNode = false
             }
         }
     }
 
-    private fun putNode(held: Long, version: Long) {
+    private fun putNode(held: Long, fields: Fields, version: Long) {
         val path = Keys.node(settings.label)
         out.commit(
-            Change(listOf(Guard(path, version)), listOf(Write.Put(path, UpgradeTracker.memberFields(settings.label), held))) { outcome ->
+            Change(listOf(Guard(path, version), gatesGuard()), listOf(Write.Put(path, fields, held))) { outcome ->
                 claimingNode = false
                 when (outcome) {
-                    is Outcome.Applied -> nodeKeyLease = held
+                    is Outcome.Applied -> {
+                        nodeKeyLease = held
+                        published = fields
+                    }
+
                     is Outcome.Conflict -> {}
+
                     is Outcome.Refused -> if (lease == held) lease = null
                 }
             },
@@ -171,7 +197,7 @@
         if (claimingLeader || nodeKeyLease != held) return
         claimingLeader = true
         out.commit(
-            Change(listOf(Guard(Keys.LEADER, 0)), listOf(Write.Put(Keys.LEADER, mapOf("label" to settings.label), held))) { outcome ->
+            Change(listOf(Guard(Keys.LEADER, 0), gatesGuard()), listOf(Write.Put(Keys.LEADER, mapOf("label" to settings.label), held))) { outcome ->
                 claimingLeader = false
                 // The watch tells the same: whichever is first counts. What it has told of may be over by now.
                 if (outcome is Outcome.Applied && outcome.revision > toldTo) seeLeader(settings.label, outcome.revision)
--- a/src/main/kotlin/io/reedmast/ownership/SliceTable.kt
+++ b/src/main/kotlin/io/reedmast/ownership/SliceTable.kt
@@ -5,7 +5,6 @@
 import io.reedmast.state.Fetched
 import io.reedmast.state.Keys
 import io.reedmast.wire.Fields
-import io.reedmast.wire.count
 
 /** A slice record as last seen, with its version. */
 data class StoredRecord(val record: SliceRecord, val version: Long)
@@ -35,7 +34,7 @@
     fun see(path: String, value: Fields?, version: Long) {
         if (value == null) return
         if (path == Keys.TOKEN) {
-            seeToken(value.count("token"), version)
+            seeToken(TokenFence.tokenOf(value), version)
         } else if (path.startsWith(Keys.SLICES)) {
             val slice = path.removePrefix(Keys.SLICES).toIntOrNull() ?: return
             if (slice in records.indices) seeSlice(SliceIndex(slice), SliceRecord.parse(value), version)
--- a/src/main/kotlin/io/reedmast/ownership/Takeover.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Takeover.kt
@@ -35,6 +35,7 @@
     private val jobs: JobIndex,
     private val hostDirectory: HostDirectory,
     private val contact: WorkerContact,
+    private val rollout: ClusterRollout,
     /** The owners of this node's slices, by slice. */
     private val owners: Array<SliceOwner?>,
     private val newOwner: (SliceIndex) -> SliceOwner,
@@ -100,6 +101,7 @@
     private fun consider(slice: SliceIndex, now: Long) {
         if (taking[slice.value] || owners[slice.value] != null) return
         val owner = slices.ownerOf(slice)
+        if (rollout.isDraining && owner != settings.label) return
         val wanted = isWanted(slice, owner, now)
         if (wanted && now > notBefore[slice.value]) takeIfInContact(slice, owner, now)
         if (!wanted && owner != null && membership.isPresent(owner)) considerMisdirected(slice, now)
@@ -142,7 +144,8 @@
     private fun isRequested(slice: SliceIndex) = requests[slice]?.let { it.term == slices.records[slice.value]?.version } ?: false
 
     /** The node with the least to do comes first; the others follow if it does not act. */
-    private fun turn(owner: String): Int = (membership.alive() - owner).sortedWith(compareBy({ slices.countOf(it) }, { it })).indexOf(settings.label)
+    private fun turn(owner: String): Int =
+        (membership.alive() - owner - rollout.draining()).sortedWith(compareBy({ slices.countOf(it) }, { it })).indexOf(settings.label)
 
     /**
      * Takes a slice whose owner lives, if its machines do not reach that owner.
@@ -190,8 +193,11 @@
         val fresh = Token.after(slices.token)
         val record = SliceRecord(settings.label, fresh)
         val mine = Claim(slice, record).also { claim = it }
-        val guards = listOf(Guard(Keys.slice(slice.value), held?.version ?: 0L), Guard(Keys.TOKEN, slices.tokenVersion))
-        val writes = listOf(Write.Put(Keys.slice(slice.value), record.toFields()), Write.Put(Keys.TOKEN, mapOf("token" to fresh)))
+        // A process that has not heard of a move of the gates takes nothing: it may not be able to read what it would own.
+        val gates = rollout.gates
+        val guards = listOf(Guard(Keys.slice(slice.value), held?.version ?: 0L), Guard(Keys.TOKEN, slices.tokenVersion), gates.guard)
+        val counter = TokenFence.toFields(fresh, fenced = gates.writes(ClusterFeatures.FENCED_TOKENS))
+        val writes = listOf(Write.Put(Keys.slice(slice.value), record.toFields()), Write.Put(Keys.TOKEN, counter))
         out.commit(
             Change(guards, writes) { outcome ->
                 if (claim !== mine) return@Change
@@ -203,6 +209,7 @@
                     retrySoon(slice)
                     reread(Keys.slice(slice.value))
                     reread(Keys.TOKEN)
+                    if (outcome is Outcome.Conflict && Keys.ROLLOUT in outcome.failed) rollout.refreshGates()
                 }
             },
         )
--- a/src/main/kotlin/io/reedmast/ports/Gateway.kt
+++ b/src/main/kotlin/io/reedmast/ports/Gateway.kt
@@ -63,6 +63,9 @@
     /** How many nodes share the limits of state service and cloud. */
     fun shareLimits(aliveNodes: Int, leading: Boolean)
 
+    /** This process must not go on, for [reason]: it ends without touching anything more. */
+    fun endProcess(reason: String)
+
     /** How many machines there are, each of which may have a connection to this node. */
     fun expectMachines(count: Int)
 }
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/rollout/GateDecision.kt
@@ -0,0 +1,155 @@
+package io.reedmast.rollout
+
+import io.reedmast.state.Guard
+
+/**
+ * The next move of a gate.
+ *
+ * @property guards what must still hold when the move is stored, besides the leader's key and the record itself
+ */
+class GateMove(val feature: Feature, val to: GateState, val why: String, val guards: List<Guard>)
+
+/** What follows from a picture of the cluster: at most one move, and why the other gates stay as they are although they should not. */
+class RolloutPlan(val move: GateMove?, val waiting: Map<FeatureName, String>)
+
+/** Decides which gate moves next. Pure: the leader stores the move under its term, on condition that what it saw still holds. */
+class GateDecision(private val registry: FeatureRegistry) {
+    /** Why a gate stays, or the move that it makes. */
+    private sealed interface Verdict {
+        class Moves(val move: GateMove) : Verdict
+
+        class Waits(val reason: String) : Verdict
+
+        data object Stays : Verdict
+    }
+
+    fun plan(record: RolloutRecord, picture: ClusterPicture): RolloutPlan {
+        val waiting = LinkedHashMap<FeatureName, String>()
+        // What is taken back is taken back from the end of the dependencies.
+        for (feature in registry.inOrder) {
+            if (feature.name in picture.externallyFinalized) continue
+            when (val verdict = Case(feature, record, picture).verdict()) {
+                is Verdict.Moves -> return RolloutPlan(verdict.move, waiting)
+                is Verdict.Waits -> waiting[feature.name] = verdict.reason
+                Verdict.Stays -> Unit
+            }
+        }
+        return RolloutPlan(null, waiting)
+    }
+
+    /** One feature in one picture. */
+    private inner class Case(private val feature: Feature, private val record: RolloutRecord, private val picture: ClusterPicture) {
+        private val counted = picture.counted(record)
+        private val unfit = counted.firstOrNull { label -> picture.present[label]?.let { feature.requires !in it.versions.range } ?: false }
+        private val silent = counted.firstOrNull { it !in picture.present }
+
+        fun verdict(): Verdict {
+            val target = target()
+            return when (record.stateOf(feature.name)) {
+                GateState.DORMANT -> if (target.wantsEnabled) ready() else target.orStays()
+                GateState.READY -> readyNext(target)
+                GateState.ENABLED -> enabledNext(target)
+                GateState.REVERTING -> revertingNext(target)
+                GateState.FINALIZED -> if (target.wished == Target.DORMANT) Verdict.Waits("it is finalized and stays") else Verdict.Stays
+            }
+        }
+
+        private fun moves(to: GateState, why: String, guards: List<Guard> = emptyList()) = Verdict.Moves(GateMove(feature, to, why, guards))
+
+        private fun ready(): Verdict =
+            missing()?.let { Verdict.Waits(it) } ?: moves(GateState.READY, "every controller reads version ${feature.requires}", guards())
+
+        private fun guards() = picture.guards(record)
+
+        private fun missing(): String? = when {
+            unfit != null -> "$unfit has versions ${picture.present[unfit]?.versions?.range}, ${feature.requires} is required"
+            silent != null -> "$silent is silent"
+            else -> null
+        }
+
+        private fun readyNext(target: Wanted): Verdict = when {
+            unfit != null -> moves(GateState.DORMANT, missing().orEmpty())
+            !target.wantsEnabled -> target.orStays()
+            else -> (missing() ?: dependenciesMissing(finalized = false) ?: sliceInOtherHands())?.let { Verdict.Waits(it) }
+                ?: moves(GateState.ENABLED, target.why, guards())
+        }
+
+        private fun dependenciesMissing(finalized: Boolean): String? = feature.dependsOn.firstNotNullOfOrNull { name ->
+            val dependency = registry[name] ?: return@firstNotNullOfOrNull "$name is unknown"
+            val state = picture.stateOf(name, record)
+            when {
+                state == GateState.FINALIZED -> null
+                finalized -> "$name is not finalized"
+                state != GateState.ENABLED -> "$name is not enabled"
+                !picture.isMigrated(dependency, record) -> "records of $name are still being migrated"
+                else -> null
+            }
+        }
+
+        /** A process that does not count may still write under the term of a slice that it owns. */
+        private fun sliceInOtherHands(): String? = picture.slices.withIndex().firstNotNullOfOrNull { (index, slice) ->
+            if (slice != null && slice.owner !in counted) "slice $index is owned by ${slice.owner}, which does not count" else null
+        }
+
+        private fun enabledNext(target: Wanted): Verdict = when (target.wished) {
+            Target.DORMANT -> reverting(target)
+            Target.FINALIZED -> finalizing(target)
+            Target.ENABLED, null -> target.orStays()
+        }
+
+        private fun reverting(target: Wanted): Verdict {
+            val refusal = Reversal.refusal(registry, feature, record)
+            return if (refusal != null) Verdict.Waits(refusal) else moves(GateState.REVERTING, target.why)
+        }
+
+        private fun finalizing(target: Wanted): Verdict {
+            val reason = missing() ?: dependenciesMissing(finalized = true) ?: migrationMissing()
+            return if (reason != null) Verdict.Waits(reason) else moves(GateState.FINALIZED, target.why, guards())
+        }
+
+        private fun migrationMissing(): String? {
+            if (picture.isMigrated(feature, record)) return null
+            val blocked = picture.blockedRecords(feature, record)
+            return if (blocked == 0L) "records are still being migrated" else "$blocked records cannot be migrated"
+        }
+
+        private fun revertingNext(target: Wanted): Verdict = when {
+            target.wantsEnabled -> missing()?.let { Verdict.Waits(it) } ?: moves(GateState.ENABLED, target.why, guards())
+            else -> migrationMissing()?.let { Verdict.Waits(it) } ?: moves(GateState.DORMANT, "all records have the old form again")
+        }
+
+        /** An operator's wish goes before the deploy files, which must agree: else the gate would move with each change of the leader. */
+        private fun target(): Wanted {
+            record.wishes[feature.name]?.let { return Wanted(it.target, "wished by ${it.made.by}: ${it.made.why}") }
+            val desires = counted.associateWith { picture.present[it]?.versions?.desired?.get(feature.name) }
+            val distinct = desires.values.toSet()
+            return when {
+                distinct.all { it == null } -> Wanted(null, "")
+                distinct.size == 1 -> Wanted(distinct.first(), "wished by the deploy files")
+                else -> Wanted(null, "", "the deploy files differ: " + desires.entries.joinToString { "${it.key} ${it.value?.storedName ?: "nothing"}" })
+            }
+        }
+    }
+
+    /** What is wished of a gate, and for what reason; [contradiction] if the wishes do not agree. */
+    private class Wanted(val wished: Target?, val why: String, val contradiction: String? = null) {
+        val wantsEnabled get() = wished == Target.ENABLED || wished == Target.FINALIZED
+
+        fun orStays(): Verdict = contradiction?.let { Verdict.Waits(it) } ?: Verdict.Stays
+    }
+}
+
+/** Whether a feature can be taken back. */
+object Reversal {
+    /** Why [feature] cannot be taken back as the record stands; null if it can. */
+    fun refusal(registry: FeatureRegistry, feature: Feature, record: RolloutRecord): String? {
+        val state = record.stateOf(feature.name)
+        val dependent = registry.dependentsOf(feature.name).firstOrNull { record.stateOf(it.name).isActive }
+        return when {
+            state == GateState.FINALIZED -> "${feature.name} is finalized"
+            state.isActive && !feature.revertible -> "${feature.name} cannot be taken back once it is enabled"
+            dependent != null -> "${dependent.name} depends on it and must be taken back first"
+            else -> null
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/rollout/MigrationReconciler.kt
@@ -0,0 +1,218 @@
+package io.reedmast.rollout
+
+import io.reedmast.state.Change
+import io.reedmast.state.Fetched
+import io.reedmast.state.Guard
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.state.WritePriority
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.StateMessages
+import io.reedmast.wire.Tree
+import org.slf4j.LoggerFactory
+import java.util.ArrayDeque
+
+/** Keeps a migration's writes apart from those of whoever else writes the records. */
+interface RecordAccess {
+    /** False while another write of the record is on its way: it is asked again later. */
+    fun tryAcquire(path: String): Boolean
+
+    /** The migration has done with the record; [version] is its new one if it was written. */
+    fun release(path: String, version: Long?)
+}
+
+/** How fast records are migrated. */
+data class MigrationPace(
+    /** The least time between two records. */
+    val everyMs: Long = 100L,
+    /** Nothing is migrated while less than this part of a second's worth of changes is left. */
+    val leastFullness: Double = 0.7,
+)
+
+/**
+ * Brings the records of one [unit] to the form that the gates want, one record at a time.
+ *
+ * It compares what is wanted with the stored progress and works on the difference, so that it goes on where any process stopped. Each
+ * record is written on condition that it, the gates and the [fence][tick] are unchanged: a write that is carried out late finds that one of
+ * them has moved. Records that cannot be read are counted and left alone.
+ *
+ * @param valueBytes what a value may hold
+ */
+class MigrationReconciler(
+    private val unit: MigrationUnit,
+    private val registry: FeatureRegistry,
+    private val store: RolloutStore,
+    private val access: RecordAccess,
+    private val pace: MigrationPace,
+    private val now: () -> Long,
+    private val valueBytes: () -> Int,
+) {
+    private val log = LoggerFactory.getLogger("rollout")
+
+    /** One pass over the records, for one generation of a gate and under one fence. */
+    private class Pass(val feature: Feature, val migration: RecordMigration, val gates: GateSnapshot, val fence: Guard, var progress: MigrationProgress) {
+        /** Keys that are yet to be dealt with; null until they have been listed. */
+        var keys: ArrayDeque<String>? = null
+        var progressVersion = 0L
+        var sinceSaved = 0
+    }
+
+    private var pass: Pass? = null
+    private var busy = false
+    private var due = 0L
+    private val retryAt = HashMap<FeatureName, Long>()
+
+    /** Whether a write of this migration is on its way, so that what is stored is not certain. */
+    val inDoubt: Boolean get() = busy
+
+    /** Does the next piece of work. [fence] proves that this process may still write the unit's records. */
+    fun tick(gates: GateSnapshot, fence: Guard, view: RolloutView) {
+        if (busy || now() < due) return
+        val current = pass?.takeIf { it.gates.version == gates.version && it.fence == fence } ?: begin(gates, fence, view)
+        pass = current
+        if (current == null || store.writeFullness() < pace.leastFullness) return
+        due = now() + pace.everyMs
+        val keys = current.keys
+        if (keys == null) list(current) else next(current, keys)
+    }
+
+    private fun begin(gates: GateSnapshot, fence: Guard, view: RolloutView): Pass? = registry.inOrder.firstNotNullOfOrNull { feature ->
+        val migration = feature.migration?.takeIf { concerns(it) } ?: return@firstNotNullOfOrNull null
+        val gate = gates.record.gates[feature.name] ?: return@firstNotNullOfOrNull null
+        val direction = Direction.of(gate.state) ?: return@firstNotNullOfOrNull null
+        if (now() < (retryAt[feature.name] ?: 0L)) return@firstNotNullOfOrNull null
+        val stored = view.progressOf(feature.name, unit)
+        val known = stored?.progress?.takeIf { it.generation == gate.generation && it.direction == direction }
+        if (known?.complete == true) return@firstNotNullOfOrNull null
+        val from = known?.let { resumed(it) } ?: MigrationProgress(direction, gate.generation)
+        Pass(feature, migration, gates, fence, from).apply { progressVersion = stored?.version ?: 0L }
+    }
+
+    /** A pass from the beginning counts anew what it cannot migrate. */
+    private fun resumed(progress: MigrationProgress) = if (progress.after.isEmpty()) progress.copy(unreadable = 0, oversized = 0) else progress
+
+    private fun concerns(migration: RecordMigration) = when (unit) {
+        MigrationUnit.Cluster -> migration.scope == MigrationScope.CLUSTER
+        is MigrationUnit.Slice -> migration.scope == MigrationScope.SLICE
+    }
+
+    private fun list(of: Pass) {
+        busy = true
+        store.list(of.migration.prefix((unit as? MigrationUnit.Slice)?.index ?: 0)) { items ->
+            busy = false
+            if (items != null) of.keys = items.mapTo(ArrayDeque()) { it.path }.apply { removeIf { it <= of.progress.after } }
+        }
+    }
+
+    private fun next(of: Pass, keys: ArrayDeque<String>) {
+        val path = keys.peek()
+        if (path == null) {
+            finish(of)
+            return
+        }
+        if (of.sinceSaved >= SAVE_EVERY) {
+            save(of, of.progress)
+            return
+        }
+        if (!access.tryAcquire(path)) return
+        busy = true
+        store.get(path) { fetched ->
+            when (fetched) {
+                is Fetched.Found -> migrate(of, fetched.item)
+                Fetched.Missing -> done(of, path, null) { it }
+                Fetched.Failed -> release(path, null)
+            }
+        }
+    }
+
+    private fun migrate(of: Pass, item: Item) {
+        val record = StateMessages.withoutTransactionId(item.value)
+        val wanted = try {
+            if (of.progress.direction == Direction.FORWARD) of.migration.forward(record) else of.migration.back(record)
+        } catch (e: MalformedException) {
+            log.error("{}: record {} cannot be read and is left as it is: {}", of.feature.name, item.path, e.message)
+            done(of, item.path, null) { it.copy(unreadable = it.unreadable + 1) }
+            return
+        }
+        when {
+            wanted == record -> done(of, item.path, null) { it }
+            Tree.jsonSize(wanted) + TRANSACTION_ID_BYTES > valueBytes() -> done(of, item.path, null) { it.copy(oversized = it.oversized + 1) }
+            else -> write(of, item, wanted)
+        }
+    }
+
+    private fun write(of: Pass, item: Item, wanted: Fields) {
+        val guards = listOf(of.fence, of.gates.guard, Guard(item.path, item.version)).distinct()
+        store.commit(
+            Change(guards, listOf(Write.Put(item.path, wanted)), WritePriority.LAZY) { outcome ->
+                when (outcome) {
+                    is Outcome.Applied -> done(of, item.path, outcome.revision) { it.copy(migrated = it.migrated + 1) }
+
+                    // The record has moved on, and is read again; or the gates or the fence have, and the pass is over.
+                    is Outcome.Conflict -> release(item.path, null)
+
+                    is Outcome.Refused -> done(of, item.path, null) { it.copy(oversized = it.oversized + 1) }
+                }
+            },
+        )
+    }
+
+    private fun release(path: String, version: Long?) {
+        busy = false
+        access.release(path, version)
+    }
+
+    private fun done(of: Pass, path: String, version: Long?, count: (MigrationProgress) -> MigrationProgress) {
+        release(path, version)
+        of.keys?.remove(path)
+        of.progress = count(of.progress).copy(after = path)
+        of.sinceSaved++
+    }
+
+    /** A pass that left records as they were has not reached its end: the next one looks at all of them again. */
+    private fun finish(of: Pass) {
+        val blocked = of.progress.unreadable + of.progress.oversized > 0
+        val ended = if (blocked) of.progress.copy(after = "") else of.progress.copy(complete = true)
+        save(of, ended) {
+            pass = null
+            if (blocked) {
+                retryAt[of.feature.name] = now() + RETRY_BLOCKED_MS
+                log.error("{}: {} unreadable and {} oversized records of {} are left", of.feature.name, ended.unreadable, ended.oversized, unit.key)
+            } else {
+                log.info("{}: {} records of {} migrated {}", of.feature.name, ended.migrated, unit.key, ended.direction.storedName)
+            }
+        }
+    }
+
+    private fun save(of: Pass, progress: MigrationProgress, then: () -> Unit = {}) {
+        busy = true
+        val path = Keys.migration(of.feature.name.value, unit.key)
+        val guards = listOf(of.fence, of.gates.guard, Guard(path, of.progressVersion))
+        store.commit(
+            Change(guards, listOf(Write.Put(path, progress.toFields())), WritePriority.LAZY) { outcome ->
+                busy = false
+                if (outcome is Outcome.Applied) {
+                    of.progressVersion = outcome.revision
+                    of.sinceSaved = 0
+                    then()
+                } else {
+                    // Somebody else has come further, or the answer to our own was lost: what is stored is read by the watch.
+                    pass = null
+                    due = now() + AFTER_CONFLICT_MS
+                }
+            },
+        )
+    }
+
+    private companion object {
+        const val SAVE_EVERY = 16
+        const val RETRY_BLOCKED_MS = 30_000L
+        const val AFTER_CONFLICT_MS = 1_000L
+
+        /** What a value grows by when it is stored. */
+        const val TRANSACTION_ID_BYTES = 64
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/rollout/RolloutAdministration.kt
@@ -0,0 +1,224 @@
+package io.reedmast.rollout
+
+import io.reedmast.state.Change
+import io.reedmast.state.Guard
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.state.WritePriority
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+
+/** What became of an operator's act. */
+sealed interface ActResult {
+    data object Done : ActResult
+
+    /** Nothing was changed, and why. */
+    data class Refused(val reason: String) : ActResult
+}
+
+/** An operator, and the reason that he gives. */
+data class Act(val by: String, val why: String)
+
+/** The cluster as an operator sees it; [waiting] says why gates stay as they are although somebody wishes otherwise. */
+class RolloutStatus(val view: RolloutView, val picture: ClusterPicture, val waiting: Map<FeatureName, String>)
+
+/** Reads slices' owners and features with records of their own from the cluster's keys, whose forms are not the rollout's. */
+interface ClusterRecords {
+    fun sliceOwners(items: List<Item>): List<SliceOwnership?>
+
+    fun externallyFinalized(items: List<Item>): Set<FeatureName>
+}
+
+/**
+ * The acts of operators: wishes, exclusions, drains, and questions about them.
+ *
+ * Each act reads the cluster's keys, checks that it can be done, and stores it on condition that what it was checked against still holds.
+ * Of two operators who act at once the second is told so, and sees what the first has done.
+ */
+class RolloutAdministration(
+    private val registry: FeatureRegistry,
+    private val configured: Set<String>,
+    private val records: ClusterRecords,
+    private val wall: () -> Long,
+    private val store: RolloutStore,
+) {
+    fun status(done: (RolloutStatus?) -> Unit) = read { status, _ -> done(status) }
+
+    /** Records that [feature] is to come to [target]; the leader moves its gate as soon as that is possible. */
+    fun wish(feature: FeatureName, target: Target, act: Act, done: (ActResult) -> Unit) = change(done) { status ->
+        val known = registry[feature] ?: return@change refused("there is no feature $feature; known are ${registry.inOrder.joinToString { it.name.value }}")
+        val record = status.view.gates.record
+        val refusal = when {
+            feature in status.picture.externallyFinalized -> "$feature is finalized"
+            target == Target.DORMANT -> Reversal.refusal(registry, known, record)
+            else -> dependencyNotWished(known, record, status)
+        }
+        if (refusal != null) refused(refusal) else Planned.Put(record.wishing(feature, target, made(act)), emptyList())
+    }
+
+    private fun dependencyNotWished(feature: Feature, record: RolloutRecord, status: RolloutStatus): String? = feature.dependsOn
+        .firstOrNull { record.wishes[it]?.target == Target.DORMANT && !status.picture.stateOf(it, record).isActive }
+        ?.let { "${feature.name} depends on $it, which is wished dormant" }
+
+    /** [label] does not count any more: it must be silent, must own nothing, and must not be the last one. */
+    fun exclude(label: String, act: Act, done: (ActResult) -> Unit) = change(done) { status ->
+        val record = status.view.gates.record
+        val owned = status.picture.slices.indexOfFirst { it?.owner == label }
+        when {
+            label !in configured -> refused("there is no controller $label; known are ${configured.sorted().joinToString()}")
+            label in record.excluded -> refused("$label is excluded already")
+            status.picture.counted(record).size == 1 -> refused("$label is the last controller that counts")
+            label in status.picture.present -> refused("$label is alive; stop it first")
+            owned >= 0 -> refused("$label still owns slice $owned; another controller takes it within seconds")
+            // Its key must not be there, and no slice may have been taken, at the moment of the change.
+            else -> Planned.Put(record.excluding(label, made(act)), status.picture.guardsOf(label))
+        }
+    }
+
+    /** [label] counts again. */
+    fun include(label: String, act: Act, done: (ActResult) -> Unit) = change(done) { status ->
+        val record = status.view.gates.record
+        if (label !in record.excluded) refused("$label is not excluded") else Planned.Put(record.including(label, made(act)), emptyList())
+    }
+
+    /** The process that runs as [label] now gives its slices up; the order ends with that process. */
+    fun drain(label: String, act: Act, done: (ActResult) -> Unit) = change(done) { status ->
+        val incarnation = status.picture.present[label]?.versions?.incarnation
+        val others = status.picture.counted(status.view.gates.record) - label
+        val silent = others.firstOrNull { it !in status.picture.present }
+        val draining = others.firstOrNull { status.isDraining(it) }
+        when {
+            label !in configured -> refused("there is no controller $label")
+            incarnation == null -> refused("$label is silent, or of a version that cannot be drained")
+            others.isEmpty() -> refused("$label is the last controller that counts")
+            silent != null -> refused("$silent is silent; its slices would come to fewer controllers still")
+            draining != null -> refused("$draining is being drained; one at a time")
+            else -> Planned.Drain(label, DrainOrder(incarnation, made(act)), status.view.drainOf(label)?.version ?: 0L)
+        }
+    }
+
+    /** [label] takes slices again. */
+    fun endDrain(label: String, done: (ActResult) -> Unit) = change(done) { status ->
+        val stored = status.view.drainOf(label)
+        if (stored == null) refused("$label is not being drained") else Planned.EndDrain(label, stored.version)
+    }
+
+    /** Whether [label] may be stopped now without harm. */
+    fun readiness(label: String, done: (Readiness) -> Unit) = read { status, failure ->
+        done(if (status == null) Readiness.NotReady(listOf(failure)) else Readiness.of(label, status))
+    }
+
+    private fun made(act: Act) = Provenance.of(act.by, wall(), act.why)
+
+    /** What an act is about to store. */
+    private sealed interface Planned {
+        class Refused(val reason: String) : Planned
+
+        class Put(val record: RolloutRecord, val guards: List<Guard>) : Planned
+
+        class Drain(val label: String, val order: DrainOrder, val version: Long) : Planned
+
+        class EndDrain(val label: String, val version: Long) : Planned
+    }
+
+    private fun refused(reason: String): Planned = Planned.Refused(reason)
+
+    private fun read(done: (RolloutStatus?, String) -> Unit) = store.list(Keys.CLUSTER) { items ->
+        if (items == null) {
+            done(null, "the state service does not answer")
+            return@list
+        }
+        try {
+            done(statusOf(items), "")
+        } catch (e: MalformedException) {
+            done(null, "a record of the cluster cannot be read: ${e.message}")
+        }
+    }
+
+    private fun statusOf(items: List<Item>): RolloutStatus {
+        val view = RolloutView(registry, OPERATOR)
+        items.forEach { view.see(it.path, it.value, it.version) }
+        val picture = view.picture(configured, records.sliceOwners(items), records.externallyFinalized(items))
+        return RolloutStatus(view, picture, GateDecision(registry).plan(view.gates.record, picture).waiting)
+    }
+
+    private fun change(done: (ActResult) -> Unit, plan: (RolloutStatus) -> Planned) = read { status, failure ->
+        if (status == null) {
+            done(ActResult.Refused(failure))
+            return@read
+        }
+        val gates = status.view.gates
+        when (val admission = status.view.admission) {
+            is Admission.Withheld -> done(ActResult.Refused(admission.reason))
+            is Admission.Unfit -> done(ActResult.Refused(admission.reason))
+            Admission.Admitted, Admission.Excluded -> when (val planned = plan(status)) {
+                is Planned.Refused -> done(ActResult.Refused(planned.reason))
+                is Planned.Put -> commit(gates.guard, planned.guards, Write.Put(Keys.ROLLOUT, planned.record.toFields()), done)
+                is Planned.Drain -> put(planned, gates, done)
+                is Planned.EndDrain -> Keys.drain(planned.label).let { commit(Guard(it, planned.version), emptyList(), Write.Delete(it), done) }
+            }
+        }
+    }
+
+    private fun put(planned: Planned.Drain, gates: GateSnapshot, done: (ActResult) -> Unit) {
+        val path = Keys.drain(planned.label)
+        val fields: Fields = planned.order.toFields()
+        commit(Guard(path, planned.version), listOf(gates.guard), Write.Put(path, fields), done)
+    }
+
+    private fun commit(guard: Guard, others: List<Guard>, write: Write, done: (ActResult) -> Unit) = store.commit(
+        Change(listOf(guard) + others, listOf(write), WritePriority.USER) { outcome ->
+            done(
+                when (outcome) {
+                    is Outcome.Applied -> ActResult.Done
+                    is Outcome.Conflict -> ActResult.Refused("${outcome.failed.joinToString()} changed meanwhile; look again")
+                    is Outcome.Refused -> ActResult.Refused(outcome.reason)
+                },
+            )
+        },
+    )
+
+    private companion object {
+        /** No controller has this label. */
+        const val OPERATOR = ""
+    }
+}
+
+/** Whether the process that runs as [label] now is to give its slices up. */
+fun RolloutStatus.isDraining(label: String): Boolean {
+    val incarnation = picture.present[label]?.versions?.incarnation ?: return false
+    return view.drainOf(label)?.order?.incarnation == incarnation
+}
+
+/** Whether a controller may be stopped now. */
+sealed interface Readiness {
+    data object Ready : Readiness
+
+    data class NotReady(val reasons: List<String>) : Readiness
+
+    companion object {
+        /**
+         * A controller may be stopped when it has given its slices up, which it does only after all that it decided has been stored, and the
+         * others hold all slices.
+         */
+        fun of(label: String, status: RolloutStatus): Readiness {
+            val picture = status.picture
+            val others = picture.counted(status.view.gates.record) - label
+            val reasons = ArrayList<String>()
+            if (label !in picture.configured) reasons.add("there is no controller $label")
+            others.filter { it !in picture.present }.forEach { reasons.add("$it is silent") }
+            others.filter { status.isDraining(it) }.forEach { reasons.add("$it is being drained") }
+            picture.slices.forEachIndexed { index, slice ->
+                when (slice?.owner) {
+                    null -> reasons.add("slice $index has no owner")
+                    label -> reasons.add("$label owns slice $index; drain it first")
+                    !in picture.present -> reasons.add("slice $index is owned by ${slice.owner}, which is silent")
+                }
+            }
+            if (label in picture.present && picture.present[label]?.versions?.drained != true) reasons.add("$label has not said that it is drained")
+            return if (reasons.isEmpty()) Readiness.Ready else Readiness.NotReady(reasons)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/rollout/RolloutCoordinator.kt
@@ -0,0 +1,91 @@
+package io.reedmast.rollout
+
+import io.reedmast.state.Change
+import io.reedmast.state.Guard
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.state.WritePriority
+import org.slf4j.LoggerFactory
+
+/**
+ * Moves gates, on the leader.
+ *
+ * Each move is one conditional write: the leader's key, the record of the rollout and, where every controller matters, their membership
+ * keys and the slices must be as they were seen. A leader who has been replaced, or has seen too little, therefore moves nothing.
+ *
+ * @param mostGuards how many conditions a transaction takes
+ * @param reread reads the record of the rollout again
+ */
+class RolloutCoordinator(
+    private val registry: FeatureRegistry,
+    private val self: String,
+    private val wall: () -> Long,
+    private val store: RolloutStore,
+    private val view: RolloutView,
+    private val mostGuards: Int,
+    private val reread: () -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("rollout")
+    private val decision = GateDecision(registry)
+    private var said: Map<FeatureName, String> = emptyMap()
+    private var storing = false
+
+    /** Why gates stay as they are although somebody wishes otherwise. */
+    val waiting: Map<FeatureName, String> get() = said
+
+    /** Called regularly while this controller leads, hears the state store and is admitted; [leaderVersion] is the version of its key. */
+    fun tick(leaderVersion: Long, picture: ClusterPicture) {
+        if (storing) return
+        val gates = view.gates
+        val plan = decision.plan(gates.record, picture)
+        report(plan.waiting)
+        plan.move?.let { store(it, gates, leaderVersion) }
+    }
+
+    private fun report(waiting: Map<FeatureName, String>) {
+        for ((feature, reason) in waiting) if (said[feature] != reason) log.info("{} waits: {}", feature, reason)
+        said = waiting
+    }
+
+    private fun store(move: GateMove, gates: GateSnapshot, leaderVersion: Long) {
+        val guards = listOf(Guard(Keys.LEADER, leaderVersion), gates.guard) + move.guards
+        if (guards.size > mostGuards) {
+            report(said + (move.feature.name to "${guards.size} conditions are needed, a transaction takes $mostGuards"))
+            return
+        }
+        storing = true
+        val moved = gates.record.moved(move.feature, move.to, Provenance.of(self, wall(), move.why))
+        store.commit(
+            Change(guards, listOf(Write.Put(Keys.ROLLOUT, moved.toFields())), WritePriority.PROMPT) { outcome ->
+                storing = false
+                when (outcome) {
+                    is Outcome.Applied -> {
+                        log.info("{}: {}, since {}", move.feature.name, move.to.storedName, move.why)
+                        view.see(Keys.ROLLOUT, moved.toFields(), outcome.revision)
+                    }
+
+                    is Outcome.Conflict -> reread()
+
+                    is Outcome.Refused -> log.error("the move of {} was refused: {}", move.feature.name, outcome.reason)
+                }
+            },
+        )
+    }
+
+    /** This process was excluded and its versions fit: it counts again from the moment that this is stored. */
+    fun rejoin() {
+        if (storing) return
+        storing = true
+        val gates = view.gates
+        val by = gates.record.excluded[self]
+        log.info("this controller was excluded by {} ({}); it asks to count again", by?.by, by?.why)
+        val included = gates.record.including(self, Provenance.of(self, wall(), "back with versions ${registry.range}"))
+        store.commit(
+            Change(listOf(gates.guard), listOf(Write.Put(Keys.ROLLOUT, included.toFields()))) { outcome ->
+                storing = false
+                if (outcome is Outcome.Applied) view.see(Keys.ROLLOUT, included.toFields(), outcome.revision) else reread()
+            },
+        )
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/rollout/RolloutView.kt
@@ -0,0 +1,119 @@
+package io.reedmast.rollout
+
+import io.reedmast.state.Keys
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.map
+import io.reedmast.wire.optionalCount
+import io.reedmast.wire.text
+import org.slf4j.LoggerFactory
+
+/** Progress of a migration as stored, with the version of its key. */
+data class StoredProgress(val progress: MigrationProgress, val version: Long)
+
+/** An operator's order that one process give its slices up before it is stopped. */
+data class DrainOrder(val incarnation: String, val made: Provenance) {
+    fun toFields(): Fields = mapOf("incarnation" to incarnation, "made" to made.toFields())
+
+    companion object {
+        fun parse(fields: Fields) = DrainOrder(fields.text("incarnation"), Provenance.parse(fields.map("made")))
+    }
+}
+
+/** A drain order as stored, with the version of its key. */
+data class StoredDrain(val order: DrainOrder, val version: Long)
+
+/**
+ * What one process knows of the rollout: the stored record, what controllers publish of themselves, and the progress of migrations.
+ *
+ * It is told of every value under the cluster's keys, by listings and by the watch, in any order; the newer version of a key counts.
+ */
+class RolloutView(private val registry: FeatureRegistry, private val self: String) {
+    private val log = LoggerFactory.getLogger("rollout")
+    private val present = HashMap<String, PresentMember>()
+    private val progress = HashMap<Pair<FeatureName, MigrationUnit>, StoredProgress>()
+    private val drains = HashMap<String, StoredDrain>()
+    private var seenVersion = 0L
+    private var unreadable: String? = null
+
+    /** The gates as last read. While the record cannot be read they are those of before, whose version no write can match. */
+    var gates: GateSnapshot = GateSnapshot.NONE
+        private set
+
+    /** Whether this process may take part, by what it has read so far. */
+    val admission: Admission
+        get() = unreadable?.let { Admission.Withheld(it) } ?: Admission.of(self, registry.range, gates.record)
+
+    val members: Map<String, PresentMember> get() = present
+
+    fun progressOf(feature: FeatureName, unit: MigrationUnit): StoredProgress? = progress[feature to unit]
+
+    fun drainOf(label: String): StoredDrain? = drains[label]
+
+    val drainOrders: Map<String, StoredDrain> get() = drains
+
+    /** All keys are about to be told anew: what is not among them is gone. */
+    fun reset() {
+        present.clear()
+        progress.clear()
+        drains.clear()
+        seenVersion = 0L
+        unreadable = null
+        gates = GateSnapshot.NONE
+    }
+
+    /** Takes up the value under [path], if it is one of the rollout's keys; a null [value] is a deletion. */
+    fun see(path: String, value: Fields?, version: Long) {
+        when {
+            path == Keys.ROLLOUT -> seeRecord(value, version)
+            path.startsWith(Keys.NODES) -> seeMember(path.removePrefix(Keys.NODES), value, version)
+            path.startsWith(Keys.MIGRATIONS) -> seeProgress(path.removePrefix(Keys.MIGRATIONS), value, version)
+            path.startsWith(Keys.DRAINS) -> seeDrain(path.removePrefix(Keys.DRAINS), value, version)
+        }
+    }
+
+    private fun seeRecord(value: Fields?, version: Long) {
+        if (version <= seenVersion) return
+        seenVersion = version
+        try {
+            gates = if (value == null) GateSnapshot.NONE else GateSnapshot(RolloutRecord.parse(value), version)
+            unreadable = null
+        } catch (e: MalformedException) {
+            unreadable = "${Keys.ROLLOUT} cannot be read: ${e.message}"
+            log.error("{}: nothing is written until it can be", unreadable)
+        }
+    }
+
+    private fun seeMember(label: String, value: Fields?, version: Long) {
+        if (value == null) {
+            present.remove(label)
+            return
+        }
+        val legacy = FormatVersion(value.optionalCount(LEGACY_VERSION)?.toInt() ?: 0)
+        present[label] = PresentMember(MemberVersions.parse(value, legacy), version)
+    }
+
+    private fun seeProgress(name: String, value: Fields?, version: Long) {
+        val feature = FeatureName(name.substringBeforeLast('/'))
+        val unit = unitOf(name.substringAfterLast('/')) ?: return
+        val known = progress[feature to unit]
+        if (known != null && known.version >= version) return
+        if (value == null) progress.remove(feature to unit) else progress[feature to unit] = StoredProgress(MigrationProgress.parse(value), version)
+    }
+
+    private fun unitOf(key: String): MigrationUnit? =
+        if (key == MigrationUnit.Cluster.key) MigrationUnit.Cluster else key.toIntOrNull()?.let { MigrationUnit.Slice(it) }
+
+    private fun seeDrain(label: String, value: Fields?, version: Long) {
+        if (value == null) drains.remove(label) else drains[label] = StoredDrain(DrainOrder.parse(value), version)
+    }
+
+    /** What a decision about gates is made from; [slices] are the slices' owners, and [externallyFinalized] features with records of their own. */
+    fun picture(configured: Set<String>, slices: List<SliceOwnership?>, externallyFinalized: Set<FeatureName>) =
+        ClusterPicture(configured, present.toMap(), slices, progress.mapValues { it.value.progress }, externallyFinalized)
+
+    companion object {
+        /** The field of a membership key in which earlier versions name theirs. */
+        const val LEGACY_VERSION = "format"
+    }
+}
--- a/src/main/kotlin/io/reedmast/state/Change.kt
+++ b/src/main/kotlin/io/reedmast/state/Change.kt
@@ -78,6 +78,15 @@
     /** The format that every controller reads. */
     const val FORMAT = "c/format"
     const val NODES = "c/node/"
+
+    /** Which features have been rolled out, and what operators wish of them. */
+    const val ROLLOUT = "c/rollout"
+
+    /** How far migrations of records have come. */
+    const val MIGRATIONS = "c/migration/"
+
+    /** Controllers that are to give their slices up before they are stopped. */
+    const val DRAINS = "c/drain/"
     const val SLICES = "c/slice/"
     const val HOSTS = "c/hosts/"
 
@@ -93,6 +102,10 @@
 
     fun node(label: String) = "$NODES$label"
 
+    fun migration(feature: String, unit: String) = "$MIGRATIONS$feature/$unit"
+
+    fun drain(label: String) = "$DRAINS$label"
+
     fun live(slice: Int, jobId: String) = "$LIVE$slice/$jobId"
 
     fun end(jobId: String) = "$ENDS$jobId"
--- a/src/main/kotlin/io/reedmast/wire/StateMessages.kt
+++ b/src/main/kotlin/io/reedmast/wire/StateMessages.kt
@@ -21,6 +21,9 @@
     /** The transaction that stored [value]; null if it names none. */
     fun transactionId(value: Fields): String? = value[TRANSACTION] as? String
 
+    /** [value] as its writer made it. */
+    fun withoutTransactionId(value: Fields): Fields = value - TRANSACTION
+
     fun delete(key: String): Fields = mapOf("delete" to key)
 
     fun transaction(conditions: List<Fields>, writes: List<Fields>): Fields = mapOf("when" to conditions, "writes" to writes)
--- a/src/main/kotlin/io/reedmast/wire/Tree.kt
+++ b/src/main/kotlin/io/reedmast/wire/Tree.kt
@@ -190,6 +190,8 @@
     return value
 }
 
+fun Fields.optionalCount(name: String): Long? = if (this[name] == null) null else count(name)
+
 @Suppress("UNCHECKED_CAST")
 fun asFields(value: Any?): Fields = value as? Map<String, Any?> ?: throw MalformedException("a map was expected")
 
--- a/src/test/kotlin/io/reedmast/ArchitectureTest.kt
+++ b/src/test/kotlin/io/reedmast/ArchitectureTest.kt
@@ -12,7 +12,7 @@
     private val production: JavaClasses =
         ClassFileImporter().withImportOption(ImportOption.DoNotIncludeTests()).importPackages("io.reedmast")
 
-    private val decisions = arrayOf("placement", "fairshare", "jobs", "ownership", "fleet", "workers").map { "io.reedmast.$it.." }.toTypedArray()
+    private val decisions = arrayOf("placement", "fairshare", "jobs", "ownership", "fleet", "workers", "rollout").map { "io.reedmast.$it.." }.toTypedArray()
 
     @Test
     fun `decisions do no I-O`() {
@@ -28,6 +28,21 @@
             .check(production)
     }
 
+    /** Programs embed it with a store of their own. */
+    @Test
+    fun `the rollout depends on no process, no connection and no scheduler`() {
+        noClasses().that().resideInAPackage("io.reedmast.rollout..")
+            .should().dependOnClassesThat()
+            .resideInAnyPackage(
+                *listOf("app", "deploy", "fleet", "jobs", "ownership", "peers", "placement", "ports", "workers").map {
+                    "io.reedmast.$it.."
+                }.toTypedArray(),
+            )
+            .orShould().dependOnClassesThat().haveFullyQualifiedName("io.reedmast.state.StateClient")
+            .orShould().dependOnClassesThat().haveFullyQualifiedName("io.reedmast.wire.Caller")
+            .check(production)
+    }
+
     @Test
     fun `bodies are read and written by the wire package alone`() {
         noClasses().that().resideOutsideOfPackage("io.reedmast.wire..")
--- a/src/test/kotlin/io/reedmast/ProductionFormatTest.kt
+++ b/src/test/kotlin/io/reedmast/ProductionFormatTest.kt
@@ -5,8 +5,10 @@
 import io.reedmast.jobs.EndRecord
 import io.reedmast.jobs.Job
 import io.reedmast.jobs.LiveRecord
+import io.reedmast.jobs.PageForm
 import io.reedmast.jobs.Placement
 import io.reedmast.jobs.ProgressPage
+import io.reedmast.jobs.StoredChunk
 import io.reedmast.ownership.HostPart
 import io.reedmast.ownership.SliceRecord
 import io.reedmast.peers.PeerCodec
@@ -71,17 +73,17 @@
         val page = ProgressPage(0)
         val jobs = HashMap<String, Job>()
         for (chunk in record("page").maps("chunks")) {
-            val read = ProgressPage.StoredChunk.parse(chunk)
+            val read = StoredChunk.parse(chunk)
             val live = LiveRecord.parse(record(if (read.jobId == "wk-000001") "live-array" else "live-service"))
             val job = jobs.getOrPut(read.jobId) { Job(live.spec, TeamIndex(0), live.chunkSize, 0L, 1L) }
             read.done.stream().forEach { job.markDone(read.first + it) }
-            read.on.forEach { on ->
+            read.placements.forEach { on ->
                 job.add(Placement(job, on.task, on.attempt, Machine(HostRecord(on.host, "g8", "x", false), null, 0L, 0L), 0L))
             }
             page.add(job.chunkOf(read.first))
         }
-        assertSameForm("page", page.toFields(emptySet(), sized = false))
-        assertFalse(ProgressPage.isSized(record("page")))
+        assertSameForm("page", page.toFields(emptySet(), PageForm.UNSIZED))
+        assertFalse(PageForm.isSized(record("page")))
     }
 
     @Test
--- a/src/test/kotlin/io/reedmast/SocketTest.kt
+++ b/src/test/kotlin/io/reedmast/SocketTest.kt
@@ -95,7 +95,7 @@
         val eventLoop = EventLoop(SystemClock, 100)
         val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits)
         val client = StateClient(settings.state, limits, 1, Caller(500, 1000))
-        val out = NetworkGateway(settings, eventLoop, client, limits, "test")
+        val out = NetworkGateway(settings, eventLoop, client, limits, "test") {}
         val timings = Timings(SystemClock)
         val node = Node(eventLoop, Controller(settings, Tuning(), SystemClock, out, limits, "test"), timings)
         HttpApi(settings, node, timings).start()
--- a/src/test/kotlin/io/reedmast/jobs/PageDivisionTest.kt
+++ b/src/test/kotlin/io/reedmast/jobs/PageDivisionTest.kt
@@ -51,12 +51,14 @@
 
             override fun termInDoubt() = Unit
 
+            override fun gatesInDoubt() = Unit
+
             override fun recordChanged(path: String, item: Item?) = Unit
 
             override fun ended(job: Job, end: EndRecord, revision: Long) = Unit
         },
     )
-    private val smallSize = ProgressPage.chunkSizeFor(2 * 1024)
+    private val smallSize = PageForm.chunkSizeFor(2 * 1024)
     private val job = Job(World.spec("wk-1", mapOf("tasks" to "100")), TeamIndex(0), smallSize, 0L, 1L).also { sliceState.jobs["wk-1"] = it }
 
     private fun chunk(first: Int, size: Int?, vararg on: Any): Fields = mapOf("job" to "wk-1", "first" to first.toLong(), "done" to "", "on" to on.toList()) +
@@ -107,7 +109,7 @@
         assertFalse(job.chunkOf(0).stored)
         first.forEach { it.done(Outcome.Applied(11L)) }
         val cleared = flush().single { putOf(it).path == Keys.page(0, 0) }
-        assertEquals(ProgressPage.EMPTY, putOf(cleared).value)
+        assertEquals(PageForm.SIZED.toFields(emptyList()), putOf(cleared).value)
         assertTrue(cleared.guards.any { it.path == Keys.page(0, 0) && it.version == 5L })
         cleared.done(Outcome.Applied(12L))
         assertTrue(job.chunkOf(0).stored && job.chunkOf(40).stored)
--- a/src/test/kotlin/io/reedmast/ownership/TakeoverTest.kt
+++ b/src/test/kotlin/io/reedmast/ownership/TakeoverTest.kt
@@ -1,6 +1,7 @@
 package io.reedmast.ownership
 
 import io.reedmast.ports.Clock
+import io.reedmast.rollout.RolloutOptions
 import io.reedmast.settings.SliceIndex
 import io.reedmast.settings.Tuning
 import io.reedmast.sim.RecordingGateway
@@ -25,7 +26,8 @@
     }
     private val settings = testSettings(nodes = listOf("n0", "n1"))
     private val out = RecordingGateway()
-    private val cluster = Cluster(settings, Tuning(), clock, out, LimitsInForce(settings.stateLimits), { emptyList() }, "n0-1")
+    private val cluster =
+        Cluster(settings, Tuning(), clock, out, LimitsInForce(settings.stateLimits), { emptyList() }, "n0-1", RolloutOptions(ClusterFeatures.registry))
     private val key = Keys.slice(0)
 
     private fun take(): Change = out.commits.first { change -> change.writes.any { it.path == key } }
--- a/src/test/kotlin/io/reedmast/sim/RecordingGateway.kt
+++ b/src/test/kotlin/io/reedmast/sim/RecordingGateway.kt
@@ -48,5 +48,7 @@
 
     override fun shareLimits(aliveNodes: Int, leading: Boolean) = Unit
 
+    override fun endProcess(reason: String) = Unit
+
     override fun expectMachines(count: Int) = Unit
 }
--- a/src/test/kotlin/io/reedmast/sim/SimGateway.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimGateway.kt
@@ -51,14 +51,14 @@
 
     override fun commit(change: Change, refusable: Boolean): Boolean {
         if (node.old && change.writes.any { it.path == Keys.FORMAT }) return true
-        if (!queue.offer(if (node.old) withoutFormat(change) else change, refusable)) return false
+        if (!queue.offer(if (node.old) asBeforeRollouts(change) else change, refusable)) return false
         drain()
         return true
     }
 
-    private fun withoutFormat(change: Change) = Change(
-        change.guards,
-        change.writes.map { if (it is Write.Put) it.copy(value = it.value - "format") else it },
+    private fun asBeforeRollouts(change: Change) = Change(
+        change.guards.filter { it.path != Keys.ROLLOUT },
+        change.writes.map { if (it is Write.Put) it.copy(value = SimNode.asBeforeRollouts(it.path, it.value)) else it },
         change.writePriority,
         change.done,
     )
@@ -219,6 +219,8 @@
         }
     }
 
+    override fun endProcess(reason: String) = node.endUnfit(reason)
+
     override fun expectMachines(count: Int) = Unit
 
     // ---- the cloud ----------------------------------------------------------------------------------------------------
--- a/src/test/kotlin/io/reedmast/sim/SimNode.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimNode.kt
@@ -1,7 +1,14 @@
 package io.reedmast.sim
 
 import io.reedmast.app.Controller
+import io.reedmast.ownership.ClusterFeatures
 import io.reedmast.peers.PeerMessage
+import io.reedmast.rollout.FeatureName
+import io.reedmast.rollout.FeatureRegistry
+import io.reedmast.rollout.FormatVersion
+import io.reedmast.rollout.RolloutOptions
+import io.reedmast.rollout.Target
+import io.reedmast.rollout.VersionRange
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
 import io.reedmast.state.LimitsInForce
@@ -34,6 +41,15 @@
      * and does not see what others name.
      */
     var old = false
+
+    /** The process knows the rollout, and the features up to this version of the stored forms only. */
+    var newestVersion = ClusterFeatures.registry.range.newest
+
+    /** What its deploy file wishes. */
+    var desired: Map<FeatureName, Target> = emptyMap()
+
+    /** Why the process has ended by itself, if it has. */
+    var unfit: String? = null
     var controller: Controller? = null
 
     /** The watch on jobs answers this much later than it could. */
@@ -65,11 +81,23 @@
         val incarnation = "$label-$life"
         val settings = world.settingsOf(index).let { if (old) it.copy(nextStateLimits = null) else it }
         val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits)
-        controller = Controller(settings, world.tuning, world, SimGateway(world, this, life, limits, incarnation), limits, incarnation)
+        val gateway = SimGateway(world, this, life, limits, incarnation)
+        controller = Controller(settings, world.tuning, world, gateway, limits, incarnation, RolloutOptions(registry(), desired))
         tick(life)
         watch(life)
     }
 
+    private fun registry(): FeatureRegistry {
+        val known = ClusterFeatures.registry.inOrder.filter { it.requires <= newestVersion }
+        return FeatureRegistry(known, VersionRange(FormatVersion.NONE, newestVersion))
+    }
+
+    /** The process ends by itself, since it does not fit what has been rolled out. */
+    fun endUnfit(reason: String) {
+        unfit = reason
+        crash()
+    }
+
     fun crash() {
         up = false
         life++
@@ -106,7 +134,7 @@
                     loaded = true
                     watchedTo = clusterRevision
                     jobsWatchedTo = jobsRevision
-                    c.cluster.snapshot(cluster.filter { it.path != Keys.FORMAT || !old }.map { it.copy(value = visible(it.value)) }, clusterRevision, askedAt)
+                    c.cluster.snapshot(cluster.filter { isVisible(it.path) }.map { it.copy(value = visible(it.path, it.value)) }, clusterRevision, askedAt)
                     c.cluster.jobsSnapshot(jobs, jobsRevision, jobsAskedAt)
                 }
                 done()
@@ -114,7 +142,9 @@
         }
     }
 
-    private fun visible(value: Fields): Fields = if (old) value - "format" else value
+    private fun isVisible(path: String) = !old || (path != Keys.FORMAT && path != Keys.ROLLOUT)
+
+    private fun visible(path: String, value: Fields): Fields = if (old) asBeforeRollouts(path, value) else value
 
     private fun follow(c: Controller) {
         val state = world.state
@@ -124,8 +154,8 @@
             return
         }
         watchedTo = state.revision
-        val clusterNews = news.filter { it.path.startsWith(Keys.CLUSTER) && !(old && it.path == Keys.FORMAT) }
-        c.cluster.clusterEvents(clusterNews.map { it.copy(value = it.value?.let(::visible)) }, watchedTo, world.now())
+        val clusterNews = news.filter { it.path.startsWith(Keys.CLUSTER) && isVisible(it.path) }
+        c.cluster.clusterEvents(clusterNews.map { it.copy(value = it.value?.let { value -> visible(it.path, value) }) }, watchedTo, world.now())
         if (world.now() < jobsDue) return
         val jobNews = state.since(jobsWatchedTo)
         if (jobNews == null) {
@@ -172,10 +202,17 @@
         later(PEER_MS) { if (life == receiving) controller?.peerSent(message) }
     }
 
-    private companion object {
-        const val TICK_MS = 50L
-        const val WATCH_MS = 40L
-        const val PAGE_MS = 5L
-        const val PEER_MS = 2L
+    companion object {
+        /** What a version before formats and rollouts writes, and sees, of a record. */
+        fun asBeforeRollouts(path: String, value: Fields): Fields = when {
+            path.startsWith(Keys.NODES) -> value.filterKeys { it == "label" || it == "txn" }
+            path == Keys.TOKEN && "fencedToken" in value -> mapOf("form" to 0L)
+            else -> value
+        }
+
+        private const val TICK_MS = 50L
+        private const val WATCH_MS = 40L
+        private const val PAGE_MS = 5L
+        private const val PEER_MS = 2L
     }
 }
--- a/src/test/kotlin/io/reedmast/sim/SimState.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -1,6 +1,6 @@
 package io.reedmast.sim
 
-import io.reedmast.jobs.ProgressPage
+import io.reedmast.jobs.PageForm
 import io.reedmast.ownership.HostPart
 import io.reedmast.settings.StateLimits
 import io.reedmast.state.CommitReply
@@ -142,8 +142,8 @@
 
     private fun notePage(path: String, value: Fields) {
         if (!path.startsWith("page/")) return
-        placed[path] = value.maps("chunks").map { ProgressPage.StoredChunk.parse(it) }
-            .flatMapTo(HashSet()) { chunk -> chunk.on.map { Triple(TaskId(chunk.jobId, it.task), it.attempt, it.host) } }
+        placed[path] = PageForm.chunksOf(value) { throw it }
+            .flatMapTo(HashSet()) { chunk -> chunk.placements.map { Triple(TaskId(chunk.jobId, it.task), it.attempt, it.host) } }
     }
 
     /** A machine that comes to a slice must not be named by a page of another one, whose next owner would return it. */
