--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -351,7 +351,7 @@
         lifecycle.tick(now)
         // Waiting may itself let work start: after a failure's pause, or once it has waited long enough to preempt.
         if (sliceState.jobs.values.any { it.waitingCount > 0 }) sliceState.placeWanted = true
-        totalsWriter.tick(now)
+        if (sliceState.fresh()) totalsWriter.tick(now)
         tellPeers(now)
     }
 
--- a/src/main/kotlin/io/reedmast/ownership/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Cluster.kt
@@ -53,7 +53,7 @@
     private val membership = Membership(settings, clock, out, ::memberFields) { rollout.gates.guard }
     private val machines = MachineTable(settings, clock, out, limits, { owners[it.value]?.syncHosts() }, hostDirectory::forget)
     private val contact = WorkerContact(clock, out)
-    private val assignment = MachineAssignment(settings, out, limits, slices, machines, { membership.leaderVersion }, ::reread)
+    private val assignment = MachineAssignment(settings, out, limits, slices, machines, rollout, { membership.leaderVersion }, ::reread)
     private val takeover =
         Takeover(settings, clock, out, freshness, membership, slices, machines, jobs, hostDirectory, contact, rollout, owners, ::newOwner) { reread(it) }
     private var sharedLowered = false
@@ -168,7 +168,7 @@
         }
         if (!owner.dropped) {
             log.info("slice {}: taken over by {} under token {}", slice.value, record.owner, record.token)
-            takeover.noteTakenByAnother()
+            if (!rollout.isDraining) takeover.noteTakenByAnother()
         }
         owner.dropped = true
         owners[slice.value] = null
--- a/src/main/kotlin/io/reedmast/ownership/ClusterFeatures.kt
+++ b/src/main/kotlin/io/reedmast/ownership/ClusterFeatures.kt
@@ -1,16 +1,20 @@
 package io.reedmast.ownership
 
+import io.reedmast.jobs.DensePages
 import io.reedmast.rollout.ClusterRecords
 import io.reedmast.rollout.Feature
 import io.reedmast.rollout.FeatureName
 import io.reedmast.rollout.FeatureRegistry
 import io.reedmast.rollout.FormatVersion
+import io.reedmast.rollout.GateSnapshot
 import io.reedmast.rollout.MigrationScope
 import io.reedmast.rollout.RecordMigration
 import io.reedmast.rollout.SliceOwnership
 import io.reedmast.rollout.VersionRange
+import io.reedmast.state.Guard
 import io.reedmast.state.Item
 import io.reedmast.state.Keys
+import io.reedmast.state.Write
 import io.reedmast.wire.Fields
 import io.reedmast.wire.count
 
@@ -25,11 +29,13 @@
     private val OLDEST = FormatVersion.NONE
     private val WITH_DIVIDED_RECORDS = FormatVersion(1)
     private val WITH_ROLLOUT = FormatVersion(2)
+    private val WITH_DENSE_PAGES = FormatVersion(3)
 
     val dividedRecords = Feature(DIVIDED_RECORDS, WITH_DIVIDED_RECORDS, revertible = false)
     val fencedTokens = Feature(FENCED_TOKENS, WITH_ROLLOUT, setOf(DIVIDED_RECORDS), migration = TokenFence)
+    val densePages = Feature(DensePages.FEATURE, WITH_DENSE_PAGES, setOf(FENCED_TOKENS), migration = DensePages)
 
-    val registry = FeatureRegistry(listOf(dividedRecords, fencedTokens), VersionRange(OLDEST, WITH_ROLLOUT))
+    val registry = FeatureRegistry(listOf(dividedRecords, fencedTokens, densePages), VersionRange(OLDEST, WITH_DENSE_PAGES))
 }
 
 /**
@@ -52,9 +58,16 @@
     /** The counter's value in either form. */
     fun tokenOf(record: Fields): Long = record.count(if (FENCED in record) FENCED else OPEN)
 
-    fun toFields(token: Long, fenced: Boolean): Fields = mapOf((if (fenced) FENCED else OPEN) to token)
+    /** Moves the counter from its version [seen] to [token], in the form that [gates] want and on condition that they have not moved. */
+    fun moveTo(token: Long, seen: Long, gates: GateSnapshot): CounterMove {
+        val field = if (gates.writes(ClusterFeatures.FENCED_TOKENS)) FENCED else OPEN
+        return CounterMove(listOf(Guard(Keys.TOKEN, seen), gates.guard), Write.Put(Keys.TOKEN, mapOf(field to token)))
+    }
 }
 
+/** A write of the token counter, and the conditions without which it must not be made. */
+class CounterMove(val guards: List<Guard>, val write: Write.Put)
+
 /** The cluster's records as the rollout's administration needs them. */
 class StoredClusterRecords(private val slices: Int) : ClusterRecords {
     override fun sliceOwners(items: List<Item>): List<SliceOwnership?> {
--- a/src/main/kotlin/io/reedmast/ownership/MachineAssignment.kt
+++ b/src/main/kotlin/io/reedmast/ownership/MachineAssignment.kt
@@ -26,6 +26,7 @@
     private val limits: LimitsInForce,
     private val slices: SliceTable,
     private val machines: MachineTable,
+    private val rollout: ClusterRollout,
     private val leaderVersion: () -> Long,
     /** Reads a key again after a change that was not applied, and goes on once that is done. */
     private val reread: (String, () -> Unit) -> Unit,
@@ -77,9 +78,10 @@
         // The other slice's owner must have a token above all that these machines have seen, which is at most ours.
         val renewed = if (target.record.token > source.owner.record.token) null else target.record.copy(token = Token.after(slices.token))
         if (renewed != null) {
-            guards.add(Guard(Keys.TOKEN, slices.tokenVersion))
+            val counter = TokenFence.moveTo(renewed.token, slices.tokenVersion, rollout.gates)
+            guards.addAll(counter.guards)
             writes.add(Write.Put(Keys.slice(to.value), renewed.toFields()))
-            writes.add(Write.Put(Keys.TOKEN, mapOf("token" to renewed.token)))
+            writes.add(counter.write)
         }
         writing.add(fromPath)
         writing.add(toPath)
@@ -118,8 +120,9 @@
             return
         }
         val renewed = owner.record.copy(token = Token.after(maxOf(slices.token, seen)))
-        val guards = listOf(Guard(Keys.TOKEN, slices.tokenVersion), Guard(Keys.slice(slice.value), owner.version))
-        val writes = listOf(Write.Put(Keys.slice(slice.value), renewed.toFields()), Write.Put(Keys.TOKEN, mapOf("token" to renewed.token)))
+        val counter = TokenFence.moveTo(renewed.token, slices.tokenVersion, rollout.gates)
+        val guards = counter.guards + Guard(Keys.slice(slice.value), owner.version)
+        val writes = listOf(Write.Put(Keys.slice(slice.value), renewed.toFields()), counter.write)
         rewrite(slice, grown.index, grown.part, lead, sofar, guards, writes) { ok ->
             if (!ok) reread(Keys.TOKEN) {}
             done(if (ok) names else emptySet())
--- a/src/main/kotlin/io/reedmast/ownership/Takeover.kt
+++ b/src/main/kotlin/io/reedmast/ownership/Takeover.kt
@@ -194,10 +194,9 @@
         val record = SliceRecord(settings.label, fresh)
         val mine = Claim(slice, record).also { claim = it }
         // A process that has not heard of a move of the gates takes nothing: it may not be able to read what it would own.
-        val gates = rollout.gates
-        val guards = listOf(Guard(Keys.slice(slice.value), held?.version ?: 0L), Guard(Keys.TOKEN, slices.tokenVersion), gates.guard)
-        val counter = TokenFence.toFields(fresh, fenced = gates.writes(ClusterFeatures.FENCED_TOKENS))
-        val writes = listOf(Write.Put(Keys.slice(slice.value), record.toFields()), Write.Put(Keys.TOKEN, counter))
+        val counter = TokenFence.moveTo(fresh, slices.tokenVersion, rollout.gates)
+        val guards = counter.guards + Guard(Keys.slice(slice.value), held?.version ?: 0L)
+        val writes = listOf(Write.Put(Keys.slice(slice.value), record.toFields()), counter.write)
         out.commit(
             Change(guards, writes) { outcome ->
                 if (claim !== mine) return@Change
--- a/src/main/kotlin/io/reedmast/rollout/MigrationProgress.kt
+++ b/src/main/kotlin/io/reedmast/rollout/MigrationProgress.kt
@@ -15,9 +15,9 @@
     companion object {
         /** The way that a gate in [state] has its records go; null if it leaves them as they are. */
         fun of(state: GateState): Direction? = when (state) {
-            GateState.ENABLED, GateState.FINALIZED -> FORWARD
+            GateState.ENABLED -> FORWARD
             GateState.REVERTING -> BACK
-            GateState.DORMANT, GateState.READY -> null
+            GateState.DORMANT, GateState.READY, GateState.FINALIZED -> null
         }
     }
 }
--- a/src/main/kotlin/io/reedmast/rollout/RolloutRecord.kt
+++ b/src/main/kotlin/io/reedmast/rollout/RolloutRecord.kt
@@ -2,6 +2,7 @@
 
 import io.reedmast.wire.Fields
 import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Tree
 import io.reedmast.wire.asFields
 import io.reedmast.wire.count
 import io.reedmast.wire.map
@@ -49,7 +50,7 @@
     fun toFields(): Fields = mapOf("by" to by, "at" to atMs, "why" to why)
 
     companion object {
-        private const val LONGEST_REASON = 160
+        private const val LONGEST_REASON = 80
 
         /** Reasons come from operators: a long one must not keep the record from being stored. */
         fun of(by: String, atMs: Long, why: String) = Provenance(by, atMs, why.take(LONGEST_REASON))
@@ -131,20 +132,30 @@
 
     private fun noting(what: String, made: Provenance) = copy(history = (history + HistoryEntry(what, made)).takeLast(LONGEST_HISTORY))
 
-    fun toFields(): Fields = mapOf(
+    /** As it is stored: with as much of the history as leaves it small enough for the smallest values. */
+    fun toFields(): Fields {
+        var kept = history
+        while (kept.isNotEmpty() && Tree.jsonSize(fieldsWith(kept)) > LARGEST_WITH_HISTORY) kept = kept.drop(1)
+        return fieldsWith(kept)
+    }
+
+    private fun fieldsWith(kept: List<HistoryEntry>): Fields = mapOf(
         "layout" to LAYOUT,
         "gates" to gates.entries.associate { it.key.value to it.value.toFields() },
         "wishes" to wishes.entries.associate { it.key.value to it.value.toFields() },
         "excluded" to excluded.mapValues { it.value.toFields() },
-        "history" to history.map { it.toFields() },
+        "history" to kept.map { it.toFields() },
     )
 
     companion object {
         /** The layout of the record itself. A process that finds a newer one cannot know what it may write. */
         private const val LAYOUT = 1L
 
-        /** Enough to see who opposed whom, and small enough for the smallest values. */
-        private const val LONGEST_HISTORY = 5
+        /** Enough to see who opposed whom. */
+        private const val LONGEST_HISTORY = 8
+
+        /** In bytes. */
+        private const val LARGEST_WITH_HISTORY = 1_700
 
         fun parse(fields: Fields): RolloutRecord {
             val layout = fields.count("layout")
--- a/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
+++ b/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
@@ -23,6 +23,10 @@
     @TestFactory
     fun `days of an upgrade`(): List<DynamicTest> = play("upgrade day") { RandomDay(it, gangs = true, upgrade = true) }
 
+    /** Features are rolled out and taken back by operators who oppose each other, while controllers are replaced by other versions. */
+    @TestFactory
+    fun `days of a rollout`(): List<DynamicTest> = play("rollout day") { RandomDay(it, rollout = true) }
+
     private fun play(name: String, day: (Long) -> RandomDay): List<DynamicTest> = seeds().map { seed ->
         DynamicTest.dynamicTest("$name $seed") {
             val lines = day(seed).lines()
@@ -40,7 +44,12 @@
         return from..to
     }
 
-    private class RandomDay(private val seed: Long, private val gangs: Boolean = false, private val upgrade: Boolean = false) {
+    private class RandomDay(
+        private val seed: Long,
+        private val gangs: Boolean = false,
+        private val upgrade: Boolean = false,
+        private val rollout: Boolean = false,
+    ) {
         private val random = Random(seed)
         private val events = ArrayList<Pair<Double, String>>()
 
@@ -58,6 +67,7 @@
             outageBesideTroubleOfPeers()
             val allNewAt = if (upgrade) addUpgrade(Random(seed xor UPGRADE_SEED)) else 0.0
             if (gangs) addGangs(Random(-seed), allNewAt)
+            if (rollout) addRollout(Random(seed xor ROLLOUT_SEED))
             at(LAST, "calm")
             at(LAST + 60, "expect answered")
             at(LAST + 220, "expect settled")
@@ -73,6 +83,7 @@
                 ) +
                     (0 until MACHINES).map { "machine m ${if (it % 2 == 0) "x" else "y"}${if (it % 4 == 3) " spot" else ""}" }
             return head + (if (upgrade) listOf("value-kb 8", "next-limits 1 5", "old n0 n1 n2") else emptyList()) +
+                (if (rollout) listOf("versions n0=${seed % 4} n1=${seed / 4 % 4} n2=${seed / 16 % 4}") else emptyList()) +
                 events.sortedBy { it.first }.map { "at ${it.first} ${it.second}" }
         }
 
@@ -113,6 +124,39 @@
             return turn
         }
 
+        /**
+         * Controllers change their versions in any order, also back at the wrong moment; a process that does not fit ends by itself. In the
+         * end all are new, and the gates come to what was wished last.
+         */
+        private fun addRollout(chance: Random) {
+            fun moment(from: Double, to: Double) = Math.round(chance.nextDouble(from, to) * 10) / 10.0
+            val features = listOf("fenced-tokens", "dense-pages")
+            repeat(chance.nextInt(2, 7)) {
+                val wish = listOf("enable", "enable", "revert").random(chance)
+                at(moment(5.0, LAST), "operator $wish ${features.random(chance)} by=${it % 2} perhaps")
+            }
+            repeat(chance.nextInt(1, 6)) {
+                val node = "n${chance.nextInt(NODES)}"
+                val from = moment(8.0, LAST - 10.0)
+                at(from, "version $node ${chance.nextInt(0, 4)}")
+                at(moment(from + 0.1, from + if (chance.nextBoolean()) 0.6 else 20.0), "start $node")
+            }
+            if (chance.nextBoolean()) at(moment(20.0, LAST), "operator exclude n${chance.nextInt(NODES)} perhaps")
+            if (chance.nextBoolean()) at(moment(10.0, LAST), "operator drain n${chance.nextInt(NODES)} perhaps")
+            for (i in 0 until NODES) {
+                at(LAST - 0.2, "version n$i 3")
+                at(LAST - 0.1 + i * 0.1, "start n$i")
+            }
+            val enabled = chance.nextBoolean()
+            for (feature in if (enabled) features else features.reversed()) {
+                // A dependency is taken back only after what depends on it.
+                val wishes = if (enabled || feature == "dense-pages") listOf(LAST + 3.0) else listOf(LAST + 60.0)
+                wishes.forEach { at(it, "operator ${if (enabled) "enable" else "revert"} $feature perhaps") }
+                at(LAST + 215, "expect gate $feature ${if (enabled) "enabled" else "taken-back"}")
+            }
+            at(LAST + 216, "expect form token ${if (enabled) "fenced" else "open"}")
+        }
+
         /** Gangs among the other jobs of the day, which are the same without them. */
         private fun addGangs(chance: Random, notBefore: Double) {
             for (i in 1..GANGS) {
@@ -238,6 +282,7 @@
         const val GANGS = 6
         const val ARRAYS = 5
         const val UPGRADE_SEED = 0x5eedL
+        const val ROLLOUT_SEED = 0x6a7eL
 
         /** Gangs start whole or not at all: enough machines that the largest ones fit beside all services. */
         const val ROOM_FOR_GANGS = 6
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/RolloutRules.kt
@@ -0,0 +1,78 @@
+package io.reedmast.sim
+
+import io.reedmast.jobs.DensePages
+import io.reedmast.ownership.ClusterFeatures
+import io.reedmast.rollout.GateState
+import io.reedmast.rollout.RolloutRecord
+import io.reedmast.state.Keys
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+
+/**
+ * The rules of the rollout, checked on every value that is stored and every page that is read, by what the state service holds: gates move
+ * only as they may, and nothing is written or read by a process in a form that the gates do not allow to it.
+ */
+class RolloutRules(private val world: World) {
+    private var record = RolloutRecord()
+
+    private fun state(path: String, value: Fields) = when {
+        path.startsWith("page/") -> DensePages.FEATURE to DensePages.isDense(value)
+        path == Keys.TOKEN -> ClusterFeatures.FENCED_TOKENS to ("fencedToken" in value)
+        else -> null
+    }
+
+    /** Called with each value as it is stored. */
+    fun written(path: String, value: Fields) {
+        if (path == Keys.ROLLOUT) noteMoves(value)
+        val (feature, isNew) = state(path, value) ?: return
+        val now = record.stateOf(feature)
+        val newAllowed = now == GateState.ENABLED || now == GateState.FINALIZED
+        if (isNew !=
+            newAllowed
+        ) {
+            world.rules.breach("wrong_form $path is stored ${if (isNew) "in the new" else "in the old"} form while $feature is ${now.storedName}")
+        }
+    }
+
+    private fun noteMoves(value: Fields) {
+        val next = try {
+            RolloutRecord.parse(value)
+        } catch (e: MalformedException) {
+            return
+        }
+        for ((name, gate) in next.gates) {
+            val before = record.stateOf(name)
+            if (gate.state != before && gate.state !in allowed.getValue(before)) {
+                world.rules.breach("gate_jumped $name from ${before.storedName} to ${gate.state.storedName}")
+            }
+            if (gate.state == GateState.ENABLED && before != GateState.ENABLED) checkAllRead(gate.requires.value, next, "$name is enabled")
+        }
+        if (next.finalizedVersion < record.finalizedVersion) world.rules.breach("version_fell to ${next.finalizedVersion}")
+        record = next
+    }
+
+    /** Whoever counts must be able to read what may be written from now on. */
+    private fun checkAllRead(version: Int, next: RolloutRecord, what: String) {
+        for (node in world.nodes) {
+            if (node.label in next.excluded || !node.up || node.unfit != null) continue
+            val owns = node.controller?.cluster?.owned().orEmpty().isNotEmpty()
+            if (owns && node.readsUpTo < version) world.rules.breach("unreadable_for ${node.label}: $what")
+        }
+    }
+
+    /** A process reads the pages of a slice that it has taken. */
+    fun read(node: SimNode, items: List<Pair<String, Fields>>) {
+        val dense = items.firstOrNull { (path, value) -> path.startsWith("page/") && DensePages.isDense(value) } ?: return
+        if (node.readsUpTo < ClusterFeatures.densePages.requires.value) world.rules.breach("read_too_new ${node.label} reads ${dense.first}")
+    }
+
+    private companion object {
+        val allowed = mapOf(
+            GateState.DORMANT to setOf(GateState.READY),
+            GateState.READY to setOf(GateState.DORMANT, GateState.ENABLED),
+            GateState.ENABLED to setOf(GateState.REVERTING, GateState.FINALIZED),
+            GateState.REVERTING to setOf(GateState.ENABLED, GateState.DORMANT),
+            GateState.FINALIZED to emptySet(),
+        )
+    }
+}
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -2,6 +2,10 @@
 
 import io.reedmast.app.Controller
 import io.reedmast.ownership.Token
+import io.reedmast.ownership.TokenFence
+import io.reedmast.rollout.FeatureName
+import io.reedmast.rollout.FormatVersion
+import io.reedmast.rollout.Target
 import io.reedmast.settings.CloudLimits
 import io.reedmast.settings.Member
 import io.reedmast.settings.NodeIndex
@@ -19,7 +23,7 @@
 
 /**
  * Plays a day in the stand-in world. A line is `at SECONDS VERB ARGUMENTS`, in order of time; before them
- * `nodes N`, `value-kb N`, `next-limits VALUE_KB TXN_OPS`, `old NODES`, `team NAME CPUS MAX`, `machine-type NAME CPUS BOOT_S`, `machine TYPE ZONE [spot]`,
+ * `nodes N`, `value-kb N`, `next-limits VALUE_KB TXN_OPS`, `old NODES`, `versions NODE=VERSION`, `team NAME CPUS MAX`, `machine-type NAME CPUS BOOT_S`, `machine TYPE ZONE [spot]`,
  * `machines N TYPE ZONE [spot]`, `capacity N`, `seed N`, `limits WRITES_PER_S PAGE_ITEMS KEPT_CHANGES`. The rules of the protocol, with those that its users added, are checked throughout; `expect` lines say what else
  * must hold.
  */
@@ -34,6 +38,9 @@
     }
     val world = World(::settings, nodes, machineTypes)
 
+    private val rolloutOperator = SimOperator(world)
+    private var notedWrites = 0
+
     /** Where tasks of a job were, and under which attempts, when a line asked for it. */
     private val noted = HashMap<String, Map<TaskId, Pair<String, Long>>>()
 
@@ -63,6 +70,7 @@
         given("machines").forEach { words -> repeat(words[1].toInt()) { world.addWorker(words[2], words[3], "spot" in words, 0) } }
         given("limits").forEach { limit(it[1].toDouble(), it[2].toInt(), it[3].toInt()) }
         given("old").flatMap { it.drop(1) }.forEach { label -> world.nodes.first { it.label == label }.old = true }
+        given("versions").flatMap { it.drop(1) }.forEach { setVersion(it.substringBefore('='), it.substringAfter('=').toInt()) }
         world.nodes.forEach { it.start() }
         given("seed").forEach { world.random = Random(it[1].toLong()) }
         checkRules()
@@ -80,6 +88,12 @@
         world.state.keptChanges = keptChanges
     }
 
+    /** Version 0 is that of before formats and rollouts. */
+    private fun setVersion(label: String, version: Int) = world.nodes.first { it.label == label }.run {
+        old = version == 0
+        if (!old) newestVersion = FormatVersion(version)
+    }
+
     private fun checkRules() {
         world.rules.checkCancelled()
         world.rules.checkNeglected()
@@ -156,6 +170,15 @@
                     old = false
                 }
             }
+            // The node's process ends; what is started next reads and writes stored forms up to this version.
+            "version" -> {
+                world.nodes.first { it.label == words[1] }.crash()
+                setVersion(words[1], words[2].toInt())
+            }
+            // What the node's deploy file wishes, from its next start on.
+            "desire" -> world.nodes.first { it.label == words[1] }.desired = args.entries.associate { FeatureName(it.key) to Target.of(it.value) }
+            "note-writes" -> notedWrites = world.state.changes
+            "operator" -> rolloutOperator.act(words.drop(1))
             // The state service takes less from now on, without a word.
             "lower-limits" -> world.state.lowered = nextLimits ?: error("no next-limits are given")
             "outage" -> world.state.outage((words[1].toDouble() * 1000).toLong())
@@ -278,7 +301,28 @@
             "same-attempts" -> assertEquals(noted[words[1]], world.attempts(words[1]), at)
 
             // How often a slice was taken, since the first start.
-            "takings" -> assertEquals(words[1].toLong(), Token.takings(world.state.get("c/token")?.value?.get("token") as Long), at)
+            "takings" -> assertEquals(words[1].toLong(), Token.takings(TokenFence.tokenOf(world.state.get("c/token")?.value.orEmpty())), at)
+
+            // `taken-back`: dormant, or ready to be enabled again.
+            "gate" -> {
+                val state = rolloutOperator.stateOf(words[1])
+                val expected = if (words[2] == "taken-back") setOf("dormant", "ready") else setOf(words[2])
+                assertTrue(state in expected, "$at: it is $state, ${rolloutOperator.waiting()}")
+            }
+
+            // The stored forms of pages, or of the token counter.
+            "form" -> assertEquals(words[2], rolloutOperator.formsOf(words[1]).sorted().joinToString("+"), at)
+
+            // Its process has ended by itself, since it does not fit what is rolled out.
+            "unfit" -> assertTrue(world.nodes.first { it.label == words[1] }.unfit != null, at)
+
+            "owns" -> assertEquals(words[2].toInt(), world.nodes.first { it.label == words[1] }.controller?.cluster?.owned()?.size ?: 0, at)
+
+            // Nothing has been stored since it was noted.
+            "no-writes" -> assertEquals(notedWrites, world.state.changes, at)
+
+            // No task has ended on a machine by the worker's own lease.
+            "no-lease-lost" -> assertEquals(0, world.leasesLost, at)
 
             // One node leads, and all agree which.
             "leader" -> {
--- a/src/test/kotlin/io/reedmast/sim/SimGateway.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimGateway.kt
@@ -159,7 +159,7 @@
     }
 
     override fun get(path: String, done: (Fetched) -> Unit) = reply(GET_MS * slow, done) {
-        if (!reachable) Fetched.Failed else state.get(path)?.let { Fetched.Found(it) } ?: Fetched.Missing
+        if (!reachable) Fetched.Failed else state.get(path)?.let { Fetched.Found(node.visible(it)) } ?: Fetched.Missing
     }
 
     override fun list(prefix: String, done: (List<Item>?) -> Unit) = reply(LIST_MS * slow, { _: Unit ->
--- a/src/test/kotlin/io/reedmast/sim/SimNode.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimNode.kt
@@ -45,6 +45,9 @@
     /** The process knows the rollout, and the features up to this version of the stored forms only. */
     var newestVersion = ClusterFeatures.registry.range.newest
 
+    /** The newest stored form that the process reads. */
+    val readsUpTo: Int get() = if (old) 0 else newestVersion.value
+
     /** What its deploy file wishes. */
     var desired: Map<FeatureName, Target> = emptyMap()
 
@@ -75,6 +78,7 @@
 
     fun start() {
         up = true
+        unfit = null
         life++
         standsUntil = 0L
         loaded = false
@@ -134,7 +138,7 @@
                     loaded = true
                     watchedTo = clusterRevision
                     jobsWatchedTo = jobsRevision
-                    c.cluster.snapshot(cluster.filter { isVisible(it.path) }.map { it.copy(value = visible(it.path, it.value)) }, clusterRevision, askedAt)
+                    c.cluster.snapshot(cluster.filter { isVisible(it.path) }.map(::visible), clusterRevision, askedAt)
                     c.cluster.jobsSnapshot(jobs, jobsRevision, jobsAskedAt)
                 }
                 done()
@@ -144,6 +148,8 @@
 
     private fun isVisible(path: String) = !old || (path != Keys.FORMAT && path != Keys.ROLLOUT)
 
+    fun visible(item: Item): Item = item.copy(value = visible(item.path, item.value))
+
     private fun visible(path: String, value: Fields): Fields = if (old) asBeforeRollouts(path, value) else value
 
     private fun follow(c: Controller) {
@@ -180,6 +186,7 @@
             val page = world.state.page(prefix, after)
             if (revision < 0) revision = world.state.revision
             items.addAll(page.items)
+            world.rolloutRules.read(this, page.items.map { it.path to it.value })
             if (page.more) later(PAGE_MS * world.stateSlow) { page(items.last().path) } else done(items, revision)
         }
         page(null)
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/sim/SimOperator.kt
@@ -0,0 +1,96 @@
+package io.reedmast.sim
+
+import io.reedmast.jobs.DensePages
+import io.reedmast.ownership.ClusterFeatures
+import io.reedmast.ownership.StoredClusterRecords
+import io.reedmast.rollout.Act
+import io.reedmast.rollout.ActResult
+import io.reedmast.rollout.FeatureName
+import io.reedmast.rollout.Readiness
+import io.reedmast.rollout.RolloutAdministration
+import io.reedmast.rollout.RolloutStatus
+import io.reedmast.rollout.RolloutStore
+import io.reedmast.rollout.Target
+import io.reedmast.state.Change
+import io.reedmast.state.CommitReply
+import io.reedmast.state.Fetched
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Transaction
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+
+/** An operator of the [World], who acts through the same library call as the command line. */
+class SimOperator(private val world: World) {
+    private var transactions = 0
+
+    private val store = object : RolloutStore {
+        override fun commit(change: Change) {
+            val transaction = Transaction("operator-${++transactions}", change.guards, change.writes)
+            val outcome = when (val reply = if (world.state.up) world.state.commit(transaction) else CommitReply.NotExecuted) {
+                is CommitReply.Applied -> Outcome.Applied(reply.revision)
+                is CommitReply.Failed -> Outcome.Conflict(reply.paths)
+                else -> Outcome.Refused("$reply")
+            }
+            change.done(outcome)
+        }
+
+        override fun get(path: String, done: (Fetched) -> Unit) = done(world.state.get(path)?.let { Fetched.Found(it) } ?: Fetched.Missing)
+
+        override fun list(prefix: String, done: (List<Item>?) -> Unit) = done(if (world.state.up) world.state.all(prefix) else null)
+
+        override fun writeFullness(): Double = 1.0
+    }
+
+    private fun administration(): RolloutAdministration {
+        val configured = world.nodes.mapTo(HashSet()) { it.label }
+        return RolloutAdministration(ClusterFeatures.registry, configured, StoredClusterRecords(world.nodes.size), world::wall, store)
+    }
+
+    /** `WISH FEATURE`, or `exclude`, `include`, `drain`, `undrain`, `ready` with a node; `refused=WORD` if it must be, for a reason with that word. */
+    fun act(words: List<String>) {
+        val refusal = words.firstOrNull { it.startsWith("refused=") }?.substringAfter('=')?.replace('_', ' ')
+        val by = Act(words.firstOrNull { it.startsWith("by=") }?.substringAfter('=') ?: "operator", "a test")
+        var result: ActResult? = null
+        val done = { of: ActResult -> result = of }
+        val administration = administration()
+        when (words[0]) {
+            "enable" -> administration.wish(FeatureName(words[1]), Target.ENABLED, by, done)
+            "finalize" -> administration.wish(FeatureName(words[1]), Target.FINALIZED, by, done)
+            "revert" -> administration.wish(FeatureName(words[1]), Target.DORMANT, by, done)
+            "exclude" -> administration.exclude(words[1], by, done)
+            "include" -> administration.include(words[1], by, done)
+            "drain" -> administration.drain(words[1], by, done)
+            "undrain" -> administration.endDrain(words[1], done)
+            "ready" -> administration.readiness(words[1]) { done(asResult(it)) }
+            else -> error("an operator does not ${words[0]}")
+        }
+        // As chance has it, an act may be impossible just then.
+        if ("perhaps" in words) return
+        val at = "at ${world.now() / 1000.0} s: operator ${words.joinToString(" ")}: $result"
+        if (refusal == null) assertEquals(ActResult.Done, result, at) else assertTrue((result as? ActResult.Refused)?.reason?.contains(refusal) ?: false, at)
+    }
+
+    private fun asResult(readiness: Readiness): ActResult = when (readiness) {
+        Readiness.Ready -> ActResult.Done
+        is Readiness.NotReady -> ActResult.Refused(readiness.reasons.joinToString("; "))
+    }
+
+    private fun status(): RolloutStatus {
+        var status: RolloutStatus? = null
+        administration().status { status = it }
+        return status ?: error("no status")
+    }
+
+    fun stateOf(feature: String): String = status().let { it.picture.stateOf(FeatureName(feature), it.view.gates.record).storedName }
+
+    fun waiting(): String = status().waiting.toString()
+
+    /** The forms in which pages, or the token counter, are stored. */
+    fun formsOf(what: String): Set<String> = when (what) {
+        "pages" -> world.state.all("page/").mapTo(HashSet()) { if (DensePages.isDense(it.value)) "dense" else "plain" }
+        "token" -> world.state.all(Keys.TOKEN).mapTo(HashSet()) { if ("fencedToken" in it.value) "fenced" else "open" }
+        else -> error("nothing has the form of $what")
+    }
+}
--- a/src/test/kotlin/io/reedmast/sim/SimState.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -48,6 +48,12 @@
         return entries[path]?.let { Item(path, it.value, it.version) }
     }
 
+    /** All keys with a prefix, at once. */
+    fun all(prefix: String): List<Item> {
+        expire()
+        return entries.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.map { Item(it.key, it.value.value, it.value.version) }
+    }
+
     /** Some of the keys with a prefix, and whether there are more. */
     class Page(val items: List<Item>, val more: Boolean)
 
@@ -167,6 +173,7 @@
         val value = Tree.readCbor(Tree.writeCbor(StateMessages.stored(write.value, transactionId)))
         entries[write.path] = Entry(value, revision, write.lease)
         notePage(write.path, value)
+        world.rolloutRules.written(write.path, value)
         if (write.path.startsWith(Keys.HOSTS)) checkMoved(write.path, value)
         log.add(Event(write.path, value, revision))
     }
--- a/src/test/kotlin/io/reedmast/sim/SimWorker.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimWorker.kt
@@ -113,6 +113,7 @@
 
     private fun checkLease() {
         if (world.now() - leaseFrom > world.settings.workers.leaseS * 1000) {
+            if (attempts().isNotEmpty()) world.leasesLost++
             dropAll()
             session++
             leaseFrom = world.now()
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -43,6 +43,10 @@
     val nodes = (0 until nodes).map { SimNode(this, it) }
     val jobs = HashMap<String, SimJob>()
     val rules = RuleChecker(this)
+    val rolloutRules = RolloutRules(this)
+
+    /** How often a worker's lease ended with tasks on it. */
+    var leasesLost = 0
     private val requests = HashMap<String, List<String>>()
     private var hosts = 0
     var capacity = Int.MAX_VALUE
