Rollout tests: real processes of mixed versions on loopback, properties, the deploy file

Three controllers as processes beside stand-in state service, cloud and workers are drained, killed, replaced, rolled back and directed by 'reedmast rollout'.

--- a/src/main/kotlin/io/reedmast/wire/Tree.kt
+++ b/src/main/kotlin/io/reedmast/wire/Tree.kt
@@ -112,10 +112,14 @@
     }
 
     /** The size that the state service counts a value by: its length as JSON. */
-    fun jsonSize(value: Fields): Int {
+    fun jsonSize(value: Fields): Int = json(value).size()
+
+    fun writeJson(fields: Fields): ByteArray = json(fields).toByteArray()
+
+    private fun json(fields: Fields): ByteArrayOutputStream {
         val out = ByteArrayOutputStream(256)
-        json.createGenerator(out).use { writeValue(it, value) }
-        return out.size()
+        json.createGenerator(out).use { writeValue(it, fields) }
+        return out
     }
 
     private fun writeValue(out: JsonGenerator, value: Any?) {
--- a/src/test/kotlin/io/reedmast/CommandLineTest.kt
+++ b/src/test/kotlin/io/reedmast/CommandLineTest.kt
@@ -27,4 +27,26 @@
         assertEquals(1, file.second.trim().lines().size, file.second)
         assertEquals(0, run("--version").first)
     }
+
+    @Test
+    fun `a rollout file that cannot be used ends the program with 2 and one line`() {
+        val settings = "deploy/rehearsal.json"
+        val file = Files.createTempFile("rollout", ".json")
+        Files.writeString(file, "{\"features\":{\"denser-pages\":\"enabled\"}}")
+        val unknown = run("--config", settings, "--rollout", file.toString())
+        assertEquals(2, unknown.first)
+        assertTrue("there is no feature denser-pages" in unknown.second, unknown.second)
+        assertEquals(1, unknown.second.trim().lines().size, unknown.second)
+        val missing = run("--config", settings, "--rollout", "no/such/file")
+        assertEquals(2, missing.first)
+        assertEquals(1, missing.second.trim().lines().size, missing.second)
+        Files.delete(file)
+    }
+
+    @Test
+    fun `an act whose cluster does not answer is refused with 1 and one line`() {
+        val refused = run("--config", "deploy/rehearsal.json", "rollout", "enable", "fenced-tokens", "--by", "somebody", "--why", "a test")
+        assertEquals(1, refused.first)
+        assertTrue("the state service does not answer" in refused.second, refused.second)
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/jobs/DensePagesProperties.kt
@@ -0,0 +1,133 @@
+package io.reedmast.jobs
+
+import io.reedmast.ownership.TokenFence
+import io.reedmast.settings.TeamIndex
+import io.reedmast.sim.World
+import io.reedmast.state.Write
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+import io.reedmast.wire.Tree
+import io.reedmast.workers.HostRecord
+import io.reedmast.workers.Machine
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.Combinators
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import net.jqwik.api.constraints.LongRange
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.assertThrows
+import java.util.BitSet
+
+/** The steps between the forms of pages: nothing is lost either way, and every half-migrated state reads the same. */
+class DensePagesProperties {
+    /** As it comes back from the state service. */
+    private fun stored(fields: Fields): Fields = Tree.readCbor(Tree.writeCbor(fields))
+
+    private fun plain(chunks: List<StoredChunk>): Fields = stored(PageForm.SIZED.toFields(chunks))
+
+    private fun read(page: Fields) = PageForm.chunksOf(page) { throw it }
+
+    @Provide
+    fun chunks(): Arbitrary<List<StoredChunk>> = chunk().list().ofMaxSize(8)
+
+    private fun chunk(): Arbitrary<StoredChunk> {
+        val jobIds = Arbitraries.integers().between(0, 999_999).map { "wk-%06d".format(it) }
+        val firsts = Arbitraries.integers().between(0, 99_999)
+        val sizes = Arbitraries.integers().between(1, 330).injectNull(0.2)
+        val done = Arbitraries.integers().between(0, 330).set().ofMaxSize(20).map { bits -> BitSet().apply { bits.forEach { set(it) } } }
+        val placements = Combinators.combine(
+            Arbitraries.integers().between(0, 329),
+            Arbitraries.longs().between(0, Long.MAX_VALUE),
+            Arbitraries.integers().between(0, 40).map { "host-%06d".format(it) },
+        ).`as` { task, attempt, host -> StoredPlacement(task, attempt, host) }.list().ofMaxSize(12)
+        return Combinators.combine(jobIds, firsts, sizes, done, placements).`as` { jobId, first, size, results, on ->
+            StoredChunk(jobId, first, size, results, on.map { it.copy(task = first + it.task) })
+        }
+    }
+
+    @Property(tries = 300, seed = "101")
+    fun `forward and back is the identity`(@ForAll("chunks") chunks: List<StoredChunk>) {
+        val page = plain(chunks)
+        val dense = stored(DensePages.forward(page))
+        assertTrue(DensePages.isDense(dense))
+        assertEquals(page, stored(DensePages.back(dense)))
+    }
+
+    @Property(tries = 300, seed = "102")
+    fun `both forms read the same`(@ForAll("chunks") chunks: List<StoredChunk>) {
+        assertEquals(chunks, read(plain(chunks)))
+        assertEquals(chunks, read(stored(DensePages.forward(plain(chunks)))))
+    }
+
+    @Property(tries = 100, seed = "103")
+    fun `each step leaves a record as it is that has the wanted form already`(@ForAll("chunks") chunks: List<StoredChunk>) {
+        val dense = stored(DensePages.forward(plain(chunks)))
+        assertEquals(dense, DensePages.forward(dense))
+        assertEquals(plain(chunks), DensePages.back(plain(chunks)))
+    }
+
+    @Property(tries = 100, seed = "104")
+    fun `a half migrated slice reads as before, whichever of its pages have been migrated`(
+        @ForAll("chunks") first: List<StoredChunk>,
+        @ForAll("chunks") second: List<StoredChunk>,
+        @ForAll migrated: Boolean,
+    ) {
+        val pages = listOf(plain(first), plain(second))
+        val half = pages.mapIndexed { index, page -> if ((index == 0) == migrated) stored(DensePages.forward(page)) else page }
+        assertEquals(pages.flatMap { read(it) }, half.flatMap { read(it) })
+    }
+
+    @Property(tries = 200, seed = "105")
+    fun `the token counter goes forward and back`(@ForAll @LongRange(min = 0) token: Long) {
+        val open = stored(mapOf("token" to token))
+        val fenced = stored(TokenFence.forward(open))
+        assertThrows<MalformedException> { TokenFence.back(mapOf("form" to 0L)) }
+        assertTrue("token" !in fenced)
+        assertEquals(open, stored(TokenFence.back(fenced)))
+        assertEquals(token, TokenFence.tokenOf(fenced))
+    }
+
+    /** What a page sets aside for its chunks is enough, in each form, when every task is placed on a machine of its own. */
+    @Property(tries = 60, seed = "106")
+    fun `a full page fits its value`(@ForAll("taskCounts") taskCounts: List<Int>, @ForAll("attempts") attempts: Long, @ForAll("forms") form: PageForm) {
+        val page = ProgressPage(0)
+        var hosts = 0
+        for ((index, taskCount) in taskCounts.withIndex()) {
+            val job = Job(World.spec("wk-%06d".format(index), mapOf("tasks" to "$taskCount")), TeamIndex(0), PageForm.chunkSizeFor(VALUE_BYTES), 0L, 1L)
+            for (first in 0 until taskCount step PageForm.chunkSizeFor(VALUE_BYTES)) {
+                val chunk = job.chunkOf(first)
+                if (!page.hasRoom(chunk, VALUE_BYTES * 95 / 100, form)) continue
+                page.add(chunk)
+                for (task in first until first + chunk.size) {
+                    val machine = Machine(HostRecord("host-%06d".format(hosts++), "m", "x", false), null, 0L, 0L)
+                    job.add(Placement(job, task, if (hosts % 2 == 0) attempts else attempts + LARGEST_DISTANCE, machine, 0L))
+                }
+            }
+        }
+        val put = Write.Put("page/0/0", page.toFields(emptySet(), form))
+        val size = put.storedSize("mastil-0-abcdefgh-abcdefghijkl-99999")
+        assertTrue(size <= VALUE_BYTES, "$form takes $size bytes")
+    }
+
+    @Provide
+    fun taskCounts(): Arbitrary<List<Int>> = Arbitraries.oneOf(
+        Arbitraries.integers().between(1, 4).list().ofSize(60),
+        Arbitraries.integers().between(1, 100).list().ofSize(30),
+    )
+
+    @Provide
+    fun attempts(): Arbitrary<Long> = Arbitraries.longs().between(1, 1L shl 40)
+
+    @Provide
+    fun forms(): Arbitrary<PageForm> = Arbitraries.of(PageForm.entries)
+
+    private companion object {
+        const val VALUE_BYTES = 2 * 1024
+
+        /** Attempts of one page lie no further apart than some hundred thousand takings of slices. */
+        const val LARGEST_DISTANCE = 900_000_000_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/loopback/LoopbackCluster.kt
@@ -0,0 +1,264 @@
+package io.reedmast.loopback
+
+import com.sun.net.httpserver.HttpExchange
+import com.sun.net.httpserver.HttpServer
+import io.reedmast.sim.SimState
+import io.reedmast.sim.World
+import io.reedmast.sim.testSettings
+import io.reedmast.state.CommitReply
+import io.reedmast.state.Event
+import io.reedmast.state.Guard
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.Transaction
+import io.reedmast.state.Write
+import io.reedmast.wire.Caller
+import io.reedmast.wire.Fields
+import io.reedmast.wire.JobSpec
+import io.reedmast.wire.MachineType
+import io.reedmast.wire.Reply
+import io.reedmast.wire.Tree
+import io.reedmast.wire.asFields
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/**
+ * Controllers as real processes on loopback, beside stand-ins for state service, cloud and workers that live in this process.
+ *
+ * The stand-in state service is that of the simulated world, driven by real time.
+ */
+class LoopbackCluster(controllers: Int, private val machines: Int, private val classPath: (controller: Int) -> String) : AutoCloseable {
+    val labels = (0 until controllers).map { "n$it" }
+    private val frontPorts = labels.map { freePort() }
+    private val peerPorts = labels.map { freePort() }
+    val fronts = frontPorts.map { "127.0.0.1:$it" }
+    val history = TaskHistory()
+    val reportMs = 500L
+    val leaseMs = 8_000L
+    val runMs = 3_000L
+    private val beganAt = System.nanoTime()
+    private val types = listOf(MachineType("m", 16.0, 0.0, 64.0, 50.0, 0.5, 1.0, 0.3, 1.0, listOf("x")))
+    private val world = World({ testSettings(nodes = labels) }, controllers, types)
+    private val state: SimState = world.state
+    private val server = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 200)
+    private val threads = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
+    private val workers = LinkedHashMap<String, LoopbackWorker>()
+    private val processes = HashMap<Int, Process>()
+    private val services = HashSet<String>()
+    private val caller = Caller(CONNECT_MS, READ_MS)
+    private val directory: Path = Files.createTempDirectory("loopback")
+    private var transactions = 0
+
+    init {
+        server.executor = threads
+        server.createContext("/", ::serve)
+        server.start()
+    }
+
+    private fun freePort() = ServerSocket(0).use { it.localPort }
+
+    fun now(): Long = (System.nanoTime() - beganAt) / 1_000_000
+
+    fun isService(piece: String): Boolean = synchronized(services) { piece.substringBefore('/') in services }
+
+    // ---- controllers --------------------------------------------------------------------------------------------------
+
+    private fun settingsFile(controller: Int): Path {
+        val others = labels.indices.filter { it != controller }
+        val fields = mapOf(
+            "label" to labels[controller],
+            "area" to "x",
+            "front" to fronts[controller],
+            "cluster_listen" to "127.0.0.1:${peerPorts[controller]}",
+            "seeds" to others.map { mapOf("label" to labels[it], "area" to "x", "endpoint" to "127.0.0.1:${peerPorts[it]}") },
+            "outside" to mapOf("cloud" to address(), "state" to address()),
+            "facts" to mapOf(
+                "nodes" to labels.size,
+                "zones" to listOf("x"),
+                "teams" to listOf("a", "b", "c").map { mapOf("name" to it, "cpus" to 100.0, "cpus_max" to 200.0) },
+                "workers" to mapOf("report_s" to reportMs / 1000.0, "lease_s" to leaseMs / 1000.0, "cancel_s" to 20.0),
+                "state" to mapOf("rps" to 1000.0, "write_rps" to 300.0, "value_kb" to 8.0, "txn_ops" to 16),
+                "cloud" to mapOf("rps" to 20.0, "list_lag_s" to 0.5),
+            ),
+        )
+        return directory.resolve("${labels[controller]}.json").also { Files.write(it, Tree.writeJson(fields)) }
+    }
+
+    private fun address() = "127.0.0.1:${server.address.port}"
+
+    private fun command(controller: Int, programs: String, arguments: List<String>): List<String> {
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val settings = settingsFile(controller).toString()
+        return listOf(java, "-Xmx112m", "-XX:+UseSerialGC", "-cp", programs, "io.reedmast.app.MainKt", "--config", settings) + arguments
+    }
+
+    fun start(controller: Int, vararg arguments: String) {
+        val log = directory.resolve("${labels[controller]}.log").toFile()
+        processes[controller] = ProcessBuilder(command(controller, classPath(controller), arguments.toList()))
+            .redirectError(ProcessBuilder.Redirect.appendTo(log)).redirectOutput(ProcessBuilder.Redirect.DISCARD).start()
+    }
+
+    fun kill(controller: Int) {
+        processes.remove(controller)?.destroyForcibly()?.waitFor()
+    }
+
+    fun log(controller: Int): String = Files.readString(directory.resolve("${labels[controller]}.log"))
+
+    /** The exit code of a controller that has ended by itself; null while it runs. */
+    fun exitCode(controller: Int): Int? = processes[controller]?.let { if (it.isAlive) null else it.exitValue() }
+
+    /** What `reedmast rollout` of today's version says, and its exit code. */
+    fun rollout(vararg arguments: String): Pair<Int, String> {
+        val process = ProcessBuilder(
+            command(labels.size - 1, System.getProperty("java.class.path"), listOf("rollout") + arguments),
+        ).redirectErrorStream(true).start()
+        val output = process.inputStream.readAllBytes().decodeToString()
+        return process.waitFor() to output
+    }
+
+    // ---- users --------------------------------------------------------------------------------------------------------
+
+    /** Submits as users do: at the next controller, until one accepts. */
+    fun submit(spec: JobSpec): Boolean {
+        if (spec.service) synchronized(services) { services.add(spec.jobId) }
+        repeat(SUBMISSIONS) { attempt ->
+            val reply = caller.call("POST", fronts[attempt % fronts.size], "/submissions", spec.toFields())
+            if (reply is Reply.Answer && (reply.status == 201 || reply.status == 200)) return true
+            Thread.sleep(RETRY_MS)
+        }
+        return false
+    }
+
+    /** The stage that some controller tells; null if none does. */
+    fun stageOf(jobId: String): String? = fronts.firstNotNullOfOrNull { front ->
+        (caller.call("GET", front, "/submissions/$jobId") as? Reply.Answer)?.takeIf { it.status == 200 }?.body?.get("stage") as? String
+    }
+
+    fun await(what: String, seconds: Int, condition: () -> Boolean) {
+        val until = now() + seconds * 1000L
+        while (!condition()) {
+            check(now() < until) { "not within $seconds s: $what" }
+            Thread.sleep(POLL_MS)
+        }
+    }
+
+    /** What the state service holds. */
+    fun stored(prefix: String): List<Item> = locked { state.all(prefix) }
+
+    // ---- the stand-in services ----------------------------------------------------------------------------------------
+
+    private fun <T> locked(work: () -> T): T = synchronized(world) {
+        world.runUntil(now() + WORLD_BEGINS_MS)
+        work()
+    }
+
+    private fun serve(exchange: HttpExchange) {
+        val body = exchange.requestBody.readAllBytes().let { if (it.isEmpty()) emptyMap() else Tree.readCbor(it) }
+        val query = exchange.requestURI.query.orEmpty().split('&').filter { '=' in it }.associate { it.substringBefore('=') to it.substringAfter('=') }
+        val (status, answer) = answer(exchange.requestMethod, exchange.requestURI.path, query, body)
+        val bytes = Tree.writeCbor(answer)
+        try {
+            exchange.sendResponseHeaders(status, bytes.size.toLong())
+            exchange.responseBody.use { it.write(bytes) }
+        } catch (e: java.io.IOException) {
+            // Its controller has been killed.
+            exchange.close()
+        }
+    }
+
+    private fun answer(method: String, path: String, query: Map<String, String>, body: Fields): Pair<Int, Fields> = when {
+        path == "/follow" -> follow(query)
+        path == "/kv" -> locked { state.page(query.getValue("prefix"), query["after"]) }.let { page ->
+            200 to mapOf("pairs" to page.items.map { item(it) }, "more" to page.more, "epoch" to locked { state.revision })
+        }
+        path.startsWith("/kv/") -> locked { state.get(path.removePrefix("/kv/")) }?.let { 200 to item(it) } ?: (404 to emptyMap())
+        path == "/commit" -> locked { commit(body) }
+        path == "/leases" -> 200 to mapOf("holding" to locked { state.lease((body["lifeMs"] as Number).toLong()) })
+        path.startsWith("/leases/") -> (if (locked { state.extend(path.split('/')[2].toLong(), EXTENDED_MS) }) 200 else 404) to emptyMap()
+        path == "/flavors" -> 200 to mapOf("builds" to types.map { typeFields(it) })
+        path == "/machines/return" -> 200.also { (body["hosts"] as List<*>).forEach { name -> remove(name as String) } } to emptyMap()
+        path == "/machines" && method == "POST" -> rent((body["count"] as Number).toInt())
+        path == "/machines" -> 200 to mapOf("hosts" to hosts(query["after"]), "more" to false)
+        else -> 404 to emptyMap()
+    }
+
+    private fun item(of: Item): Fields = mapOf("path" to of.path, "v" to of.value, "stamp" to of.version)
+
+    private fun follow(query: Map<String, String>): Pair<Int, Fields> {
+        val prefix = query.getValue("prefix")
+        val until = now() + (query["holdMs"]?.toLong() ?: 0L)
+        while (true) {
+            val (revision, news) = locked { state.revision to state.since(query.getValue("after").toLong()) }
+            if (news == null) return 410 to emptyMap()
+            val log = news.filter { it.path.startsWith(prefix) }
+            if (log.isNotEmpty() || now() >= until) return 200 to mapOf("epoch" to revision, "log" to log.map { event(it) })
+            Thread.sleep(WATCH_MS)
+        }
+    }
+
+    private fun event(of: Event): Fields =
+        if (of.value == null) mapOf("delete" to of.path, "stamp" to of.version) else mapOf("put" to of.path, "v" to of.value, "stamp" to of.version)
+
+    private fun commit(body: Fields): Pair<Int, Fields> {
+        val guards = (body["when"] as List<*>).map { asFields(it) }.map { Guard(it["path"] as String, (it["stamp"] as Number).toLong()) }
+        val writes = (body["writes"] as List<*>).map { asFields(it) }.map { write ->
+            val put = write["put"] as? String ?: return@map Write.Delete(write["delete"] as String)
+            Write.Put(put, asFields(write["v"]), (write["holding"] as? Number)?.toLong())
+        }
+        // The values carry their transaction's id already.
+        val id = writes.filterIsInstance<Write.Put>().firstOrNull()?.value?.get("txn") as? String ?: "delete-${++transactions}"
+        return when (val reply = state.commit(Transaction(id, guards, writes))) {
+            is CommitReply.Applied -> 200 to mapOf("epoch" to reply.revision)
+            is CommitReply.Failed -> 409 to mapOf("failed" to reply.paths.toList(), "epoch" to state.revision)
+            else -> 400 to mapOf("error" to "$reply")
+        }
+    }
+
+    private fun typeFields(of: MachineType): Fields = mapOf(
+        "label" to of.label, "cpus" to of.cpus, "gpus" to 0.0, "memGb" to 64.0, "localGb" to 50.0, "pullGbPerS" to 1.0,
+        "hourly" to 1.0, "lowPrice" to 0.3, "startupS" to 1.0, "yards" to listOf("x"),
+    )
+
+    private fun rent(count: Int): Pair<Int, Fields> = synchronized(workers) {
+        val names = (0 until minOf(count, machines - workers.size)).map { "host-%06d".format(workers.size + it) }
+        names.forEach { name -> workers[name] = LoopbackWorker(name, "m", "x", this).also { it.start() } }
+        if (names.isEmpty()) 503 to mapOf("error" to "no capacity") else 200 to mapOf("hosts" to names)
+    }
+
+    private fun remove(name: String) = synchronized(workers) { workers[name]?.stop() }
+
+    private fun hosts(after: String?): List<Fields> = synchronized(workers) {
+        workers.entries.filter { after == null || it.key > after }.map { (name, worker) ->
+            mapOf("ref" to name, "addr" to worker.addr, "build" to "m", "yard" to "x", "driftwood" to false, "stage" to "running", "ageS" to 10.0)
+        }
+    }
+
+    override fun close() {
+        labels.indices.forEach { kill(it) }
+        synchronized(workers) { workers.values.forEach { it.stop() } }
+        server.stop(0)
+        threads.shutdownNow()
+        threads.awaitTermination(1, TimeUnit.SECONDS)
+    }
+
+    /** Broken rules: of the stand-in state service's checks of stored forms and moves of gates, and of what ran. */
+    fun broken(): List<String> = locked { world.rules.broken.toList() } + history.broken
+
+    private companion object {
+        const val CONNECT_MS = 500
+        const val READ_MS = 5_000
+        const val RETRY_MS = 300L
+        const val SUBMISSIONS = 60
+        const val POLL_MS = 100L
+        const val WATCH_MS = 10L
+        const val EXTENDED_MS = 4_000L
+
+        /** The simulated world's time begins there. */
+        const val WORLD_BEGINS_MS = 1_000L
+    }
+}
