--- /dev/null
+++ b/src/test/kotlin/io/reedmast/rollout/RolloutMeasurement.kt
@@ -0,0 +1,132 @@
+package io.reedmast.rollout
+
+import io.reedmast.sim.Scenario
+import io.reedmast.sim.SimOperator
+import io.reedmast.sim.World
+import org.HdrHistogram.Histogram
+import java.lang.management.ManagementFactory
+import kotlin.random.Random
+
+/**
+ * Measures what a rollout of dense pages costs and gains in the stand-in world, beside the same days without it: `RolloutMeasurementKt 150 1500`.
+ *
+ * Times are simulated; the processor time is that of this whole process, stand-ins included.
+ */
+private class RolloutMeasurement(private val machines: Int, private val rollOut: Boolean) {
+    private val random = Random(machines)
+    private val latency = Histogram(LONGEST_MS, 3)
+    private var submissions = 0
+
+    private fun head(): List<String> = listOf(
+        "nodes 3",
+        "seed 1",
+        "value-kb 8",
+        "next-limits 2 5",
+        "limits 35 500 10000",
+        "machine-type m 8 5",
+        "machines $machines m x",
+        "capacity $machines",
+    ) + (0 until TEAMS).map { "team t$it $machines ${machines * 8}" }
+
+    private fun submit(world: World, kind: String, tasks: Int, team: String) {
+        val jobId = "wk-%06d".format(++submissions)
+        val spec = World.spec(
+            jobId,
+            mapOf(
+                "kind" to kind,
+                "tasks" to "$tasks",
+                "team" to team,
+                "run" to "20",
+                "priority" to if (kind == "service") "urgent" else "standard",
+            ),
+        )
+        world.jobs[jobId] = World.SimJob(spec, RUN_MS, false)
+        ask(world, spec.jobId, world.now())
+    }
+
+    /** As users do: refused for overload, it is tried again. */
+    private fun ask(world: World, jobId: String, since: Long) {
+        if (world.now() - since > LONGEST_MS) return
+        val spec = world.jobs.getValue(jobId).spec
+        world.nodes.random(random).ask(jobId, { controller, answer -> controller.submit(spec, answer) }) {
+            if (it.status < FIRST_REFUSAL) latency.recordValue(world.now() - since) else world.after(RETRY_MS) { ask(world, jobId, since) }
+        }
+    }
+
+    private fun load(world: World) {
+        repeat(maxOf(1, machines / MACHINES_PER_JOB_A_SECOND)) {
+            val service = random.nextInt(3) == 0
+            submit(world, if (service) "service" else "array", if (service) random.nextInt(1, 3) else random.nextInt(5, 60), "t${random.nextInt(TEAMS)}")
+        }
+        world.after(1_000) { load(world) }
+    }
+
+    private class Window(val name: String, val changes: Int, val pages: Int, val cpuMs: Long, val p50: Long, val p99: Long)
+
+    private fun window(world: World, name: String, seconds: Int): Window {
+        latency.reset()
+        val changes = world.state.changes
+        val pages = world.state.putsByKind["page"] ?: 0
+        val cpu = cpuMs()
+        world.runUntil(world.now() + seconds * 1_000L)
+        val newPages = (world.state.putsByKind["page"] ?: 0) - pages
+        return Window(name, world.state.changes - changes, newPages, cpuMs() - cpu, latency.getValueAtPercentile(MEDIAN), latency.getValueAtPercentile(HIGH))
+    }
+
+    private fun cpuMs() = ManagementFactory.getThreadMXBean().currentThreadCpuTime / 1_000_000
+
+    private fun await(world: World, condition: () -> Boolean): Long {
+        val since = world.now()
+        while (!condition() && world.now() - since < LONGEST_MS) world.runUntil(world.now() + STEP_MS)
+        return world.now() - since
+    }
+
+    fun run() {
+        val scenario = Scenario(head() + "at 5 submit wk-900000 kind=service team=t0 tasks=1 priority=urgent insist=true").also { it.run() }
+        val world = scenario.world
+        repeat(machines / MACHINES_PER_SERVICE) { submit(world, "service", 2, "t${it % TEAMS}") }
+        load(world)
+        world.runUntil(WARM_UP_MS)
+        val windows = arrayListOf(window(world, "before", WINDOW_S))
+        val operator = SimOperator(world)
+        if (rollOut) {
+            operator.act(listOf("enable", "fenced-tokens"))
+            operator.act(listOf("enable", "dense-pages"))
+            val enabled = await(world) { operator.stateOf("dense-pages") == "enabled" }
+            val pages = world.state.all("page/").size
+            latency.reset()
+            val changes = world.state.changes
+            val migrated = await(world) { operator.isMigrated("dense-pages") }
+            println("  enabled after $enabled ms, $pages pages migrated $migrated ms later")
+            println("  meanwhile ${world.state.changes - changes} changes, accepted p99 ${latency.getValueAtPercentile(HIGH)} ms")
+        }
+        windows.add(window(world, "after", WINDOW_S))
+        for (it in windows) println("  ${it.name}: changes ${it.changes}, pages ${it.pages}, accepted p50 ${it.p50} p99 ${it.p99} ms, processor ${it.cpuMs} ms")
+        println("  pages stored ${world.state.all("page/").size}, broken rules ${world.rules.broken}")
+    }
+
+    private companion object {
+        const val TEAMS = 6
+        const val RUN_MS = 20_000L
+        const val LONGEST_MS = 300_000L
+        const val RETRY_MS = 1_500L
+        const val FIRST_REFUSAL = 429
+        const val MACHINES_PER_JOB_A_SECOND = 150
+        const val MACHINES_PER_SERVICE = 3
+        const val STEP_MS = 100L
+        const val WARM_UP_MS = 60_000L
+        const val WINDOW_S = 90
+        const val MEDIAN = 50.0
+        const val HIGH = 99.0
+    }
+}
+
+/** Plays each size without and with the rollout. */
+fun main(args: Array<String>) {
+    for (machines in args.map { it.toInt() }) {
+        for (rollOut in listOf(false, true)) {
+            println("$machines machines, ${if (rollOut) "dense pages rolled out" else "nothing rolled out"}")
+            RolloutMeasurement(machines, rollOut).run()
+        }
+    }
+}
--- a/src/test/kotlin/io/reedmast/sim/SimOperator.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimOperator.kt
@@ -85,6 +85,11 @@
 
     fun stateOf(feature: String): String = status().let { it.picture.stateOf(FeatureName(feature), it.view.gates.record).storedName }
 
+    /** Whether all records of the feature have the form that its gate wants. */
+    fun isMigrated(feature: String): Boolean = status().let { status ->
+        ClusterFeatures.registry[FeatureName(feature)]?.let { status.picture.isMigrated(it, status.view.gates.record) } ?: false
+    }
+
     fun waiting(): String = status().waiting.toString()
 
     /** The forms in which pages, or the token counter, are stored. */
--- a/src/test/kotlin/io/reedmast/sim/SimState.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -86,6 +86,9 @@
     var changes = 0
         private set
 
+    /** Puts applied, by the first part of their keys. */
+    val putsByKind = HashMap<String, Int>()
+
     /** The form of [Tree] values as another version, or nobody, would write them. */
     fun spoil(path: String) {
         revision++
@@ -173,6 +176,7 @@
         val value = Tree.readCbor(Tree.writeCbor(StateMessages.stored(write.value, transactionId)))
         entries[write.path] = Entry(value, revision, write.lease)
         notePage(write.path, value)
+        putsByKind.merge(write.path.substringBefore('/'), 1, Int::plus)
         world.rolloutRules.written(write.path, value)
         if (write.path.startsWith(Keys.HOSTS)) checkMoved(write.path, value)
         log.add(Event(write.path, value, revision))
