--- a/src/main/kotlin/io/reedmast/rollout/MigrationReconciler.kt
+++ b/src/main/kotlin/io/reedmast/rollout/MigrationReconciler.kt
@@ -30,6 +30,8 @@
     val everyMs: Long = 100L,
     /** Nothing is migrated while less than this part of a second's worth of changes is left. */
     val leastFullness: Double = 0.7,
+    /** A record goes all the same once this time has passed without one: where there is never much left, migrations must end too. */
+    val overdueMs: Long = 5_000L,
 )
 
 /**
@@ -63,6 +65,7 @@
     private var pass: Pass? = null
     private var busy = false
     private var due = 0L
+    private var overdueAt = now() + pace.overdueMs
     private val retryAt = HashMap<FeatureName, Long>()
 
     /** Whether a write of this migration is on its way, so that what is stored is not certain. */
@@ -73,12 +76,15 @@
         if (busy || now() < due) return
         val current = pass?.takeIf { it.gates.version == gates.version && it.fence == fence } ?: begin(gates, fence, view)
         pass = current
-        if (current == null || store.writeFullness() < pace.leastFullness) return
+        if (current == null || !isAffordable()) return
         due = now() + pace.everyMs
+        overdueAt = now() + pace.overdueMs
         val keys = current.keys
         if (keys == null) list(current) else next(current, keys)
     }
 
+    private fun isAffordable() = store.writeFullness() >= pace.leastFullness || now() >= overdueAt
+
     private fun begin(gates: GateSnapshot, fence: Guard, view: RolloutView): Pass? = registry.inOrder.firstNotNullOfOrNull { feature ->
         val migration = feature.migration?.takeIf { concerns(it) } ?: return@firstNotNullOfOrNull null
         val gate = gates.record.gates[feature.name] ?: return@firstNotNullOfOrNull null
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/rollout/EmbeddedRolloutTest.kt
@@ -0,0 +1,215 @@
+package io.reedmast.rollout
+
+import io.reedmast.state.Change
+import io.reedmast.state.Fetched
+import io.reedmast.state.Guard
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import io.reedmast.state.Outcome
+import io.reedmast.state.Write
+import io.reedmast.wire.Fields
+import io.reedmast.wire.MalformedException
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.TreeMap
+
+/** The rollout as another program embeds it: a store of its own, features of its own, and no controller. */
+class EmbeddedRolloutTest {
+    /** Conditional writes over a map; [lose] has the next change carried out without an answer. */
+    private class MapStore : RolloutStore {
+        val items = TreeMap<String, Item>()
+        private var revision = 0L
+        var reads = 0
+        var fullness = 1.0
+        var hold: MutableList<() -> Unit>? = null
+
+        fun put(path: String, value: Fields) {
+            items[path] = Item(path, value, ++revision)
+        }
+
+        override fun commit(change: Change) {
+            hold?.let { held ->
+                held.add { apply(change) }
+                return
+            }
+            apply(change)
+        }
+
+        private fun apply(change: Change) {
+            val failed = change.guards.filter { (items[it.path]?.version ?: 0L) != it.version }.mapTo(HashSet()) { it.path }
+            if (failed.isNotEmpty()) return change.done(Outcome.Conflict(failed))
+            revision++
+            change.writes.forEach { if (it is Write.Put) items[it.path] = Item(it.path, it.value, revision) else items.remove(it.path) }
+            change.done(Outcome.Applied(revision))
+        }
+
+        override fun get(path: String, done: (Fetched) -> Unit) {
+            reads++
+            done(items[path]?.let { Fetched.Found(it) } ?: Fetched.Missing)
+        }
+
+        override fun list(prefix: String, done: (List<Item>?) -> Unit) = done(items.tailMap(prefix).values.takeWhile { it.path.startsWith(prefix) })
+
+        override fun writeFullness() = fullness
+    }
+
+    /** Counters in words become numbers. */
+    private object Numbers : RecordMigration {
+        override val scope = MigrationScope.SLICE
+
+        override fun prefix(slice: Int) = "counter/$slice/"
+
+        override fun forward(record: Fields): Fields = when (val count = record["count"]) {
+            is Long -> record
+            is String -> mapOf("count" to (count.toLongOrNull() ?: throw MalformedException("$count is no number")))
+            else -> throw MalformedException("no count")
+        }
+
+        override fun back(record: Fields): Fields = mapOf("count" to record["count"].toString())
+    }
+
+    private object Free : RecordAccess {
+        override fun tryAcquire(path: String) = true
+
+        override fun release(path: String, version: Long?) = Unit
+    }
+
+    private val store = MapStore()
+    private var now = 0L
+    private val feature = Feature(FeatureName("numbers"), FormatVersion(1), migration = Numbers)
+    private val registry = FeatureRegistry(listOf(feature), VersionRange(FormatVersion.NONE, FormatVersion(1)))
+    private val act = Provenance.of("a test", 0L, "a reason")
+    private val fence = Guard("counter-owner", 1L)
+    private val view = RolloutView(registry, "a")
+
+    private fun refresh() = store.items.values.forEach { view.see(it.path, it.value, it.version) }
+
+    private fun begin(state: GateState, records: Int) {
+        store.put("counter-owner", emptyMap())
+        repeat(records) { store.put("counter/0/%03d".format(it), mapOf("count" to "$it")) }
+        gate(state)
+    }
+
+    private fun gate(state: GateState) {
+        store.put(Keys.ROLLOUT, view.gates.record.moved(feature, state, act).toFields())
+        refresh()
+    }
+
+    private fun reconciler(valueBytes: Int = 8_192) =
+        MigrationReconciler(MigrationUnit.Slice(0), registry, store, Free, MigrationPace(everyMs = 10), { now }) { valueBytes }
+
+    private fun MigrationReconciler.run(ticks: Int) = repeat(ticks) {
+        now += 10
+        tick(view.gates, fence, view)
+        refresh()
+    }
+
+    private fun counts(): List<Any?> = store.items.values.filter { it.path.startsWith("counter/") }.map { it.value["count"] }
+
+    private fun progress() = view.progressOf(feature.name, MigrationUnit.Slice(0))?.progress
+
+    @Test
+    fun `records go forward and back, and progress says when all have`() {
+        begin(GateState.ENABLED, records = 5)
+        reconciler().run(10)
+        assertEquals((0L until 5L).toList(), counts())
+        assertTrue(progress()?.complete ?: false)
+        gate(GateState.REVERTING)
+        reconciler().run(10)
+        assertEquals((0 until 5).map { "$it" }, counts())
+        assertEquals(Direction.BACK, progress()?.direction)
+    }
+
+    @Test
+    fun `another process goes on where one has stopped`() {
+        begin(GateState.ENABLED, records = 40)
+        reconciler().run(30)
+        val halfway = counts().count { it is Long }
+        assertTrue(halfway in 17..39, "$halfway")
+        val before = store.reads
+        reconciler().run(60)
+        assertTrue(counts().all { it is Long })
+        assertTrue(store.reads - before <= 40 - 16, "${store.reads - before} records are read again")
+        assertTrue(progress()?.complete ?: false)
+    }
+
+    @Test
+    fun `an unreadable record is left, counted, and keeps the migration from being complete`() {
+        begin(GateState.ENABLED, records = 3)
+        store.put("counter/0/001", mapOf("count" to "many"))
+        reconciler().run(10)
+        assertEquals(listOf<Any>(0L, "many", 2L), counts())
+        assertEquals(1L, progress()?.unreadable)
+        assertFalse(progress()?.complete ?: true)
+        store.put("counter/0/001", mapOf("count" to "1"))
+        now += 60_000
+        reconciler().run(10)
+        assertTrue(progress()?.complete ?: false)
+    }
+
+    @Test
+    fun `a record that does not fit its value is left`() {
+        begin(GateState.ENABLED, records = 2)
+        reconciler(valueBytes = 20).run(10)
+        assertEquals(listOf("0", "1"), counts())
+        assertEquals(2L, progress()?.oversized)
+    }
+
+    @Test
+    fun `records wait while the budget is needed by others, but not for ever`() {
+        begin(GateState.ENABLED, records = 2)
+        store.fullness = 0.5
+        val reconciler = reconciler().apply { run(10) }
+        assertEquals(listOf("0", "1"), counts())
+        // Where that is always so, a record goes now and then.
+        reconciler.run(1_100)
+        assertEquals(1, counts().count { it is Long })
+    }
+
+    @Test
+    fun `a write that arrives after the gate has moved, or its writer has lost the fence, changes nothing`() {
+        begin(GateState.ENABLED, records = 1)
+        val held = ArrayList<() -> Unit>().also { store.hold = it }
+        reconciler().run(3)
+        store.hold = null
+        gate(GateState.REVERTING)
+        held.forEach { it() }
+        assertEquals(listOf("0"), counts())
+        gate(GateState.ENABLED)
+        store.hold = held.apply { clear() }
+        reconciler().run(3)
+        store.hold = null
+        store.put("counter-owner", emptyMap())
+        assertEquals(1, held.size)
+        held.forEach { it() }
+        assertEquals(listOf("0"), counts())
+    }
+
+    @Test
+    fun `a leader who has been replaced, or has seen a controller that is gone, moves nothing`() {
+        val member = MemberVersions(registry.range, mapOf(feature.name to Target.ENABLED), "life", false).toFields()
+        store.put(Keys.LEADER, mapOf("label" to "a"))
+        store.put(Keys.node("a"), member)
+        store.put(Keys.slice(0), mapOf("owner" to "a"))
+        refresh()
+        val coordinator = RolloutCoordinator(registry, "a", { now }, store, view, mostGuards = 20) {}
+        fun picture() = view.picture(setOf("a"), listOf(SliceOwnership("a", store.items.getValue(Keys.slice(0)).version)), emptySet())
+        val seen = store.items.getValue(Keys.LEADER).version
+        store.put(Keys.LEADER, mapOf("label" to "b"))
+        coordinator.tick(seen, picture())
+        assertEquals(null, store.items[Keys.ROLLOUT])
+        val old = picture()
+        store.put(Keys.node("a"), member)
+        coordinator.tick(store.items.getValue(Keys.LEADER).version, old)
+        assertEquals(null, store.items[Keys.ROLLOUT])
+        refresh()
+        coordinator.tick(store.items.getValue(Keys.LEADER).version, picture())
+        assertEquals(GateState.READY, view.gates.record.stateOf(feature.name))
+        val few = RolloutCoordinator(registry, "a", { now }, store, view, mostGuards = 3) {}
+        few.tick(store.items.getValue(Keys.LEADER).version, picture())
+        assertEquals(GateState.READY, view.gates.record.stateOf(feature.name))
+        assertTrue("4 conditions" in few.waiting.getValue(feature.name))
+    }
+}
--- a/src/test/kotlin/io/reedmast/rollout/RolloutMeasurement.kt
+++ b/src/test/kotlin/io/reedmast/rollout/RolloutMeasurement.kt
@@ -100,6 +100,7 @@
             println("  enabled after $enabled ms, $pages pages migrated $migrated ms later")
             println("  meanwhile ${world.state.changes - changes} changes, accepted p99 ${latency.getValueAtPercentile(HIGH)} ms")
         }
+        world.runUntil(AFTER_MS)
         windows.add(window(world, "after", WINDOW_S))
         for (it in windows) println("  ${it.name}: changes ${it.changes}, pages ${it.pages}, accepted p50 ${it.p50} p99 ${it.p99} ms, processor ${it.cpuMs} ms")
         println("  pages stored ${world.state.all("page/").size}, broken rules ${world.rules.broken}")
@@ -111,11 +112,14 @@
         const val LONGEST_MS = 300_000L
         const val RETRY_MS = 1_500L
         const val FIRST_REFUSAL = 429
-        const val MACHINES_PER_JOB_A_SECOND = 150
+        const val MACHINES_PER_JOB_A_SECOND = 300
         const val MACHINES_PER_SERVICE = 3
         const val STEP_MS = 100L
         const val WARM_UP_MS = 60_000L
         const val WINDOW_S = 90
+
+        /** Each size has been migrated by then. */
+        const val AFTER_MS = 400_000L
         const val MEDIAN = 50.0
         const val HIGH = 99.0
     }
--- a/src/test/kotlin/io/reedmast/sim/RolloutRules.kt
+++ b/src/test/kotlin/io/reedmast/sim/RolloutRules.kt
@@ -5,6 +5,8 @@
 import io.reedmast.rollout.GateState
 import io.reedmast.rollout.RolloutRecord
 import io.reedmast.state.Keys
+import io.reedmast.state.Transaction
+import io.reedmast.state.Write
 import io.reedmast.wire.Fields
 import io.reedmast.wire.MalformedException
 
@@ -34,6 +36,14 @@
         }
     }
 
+    /** Whatever lets a process take part, or has a form that depends on the gates, is on condition that they are as the process has read them. */
+    fun sent(transaction: Transaction) {
+        val sender = world.nodes.firstOrNull { transaction.id.startsWith("${it.label}-") } ?: return
+        if (sender.old || transaction.guards.any { it.path == Keys.ROLLOUT }) return
+        transaction.writes.filterIsInstance<Write.Put>().filter { put -> conditional.any { put.path.startsWith(it) } }
+            .forEach { world.rules.breach("unconditional ${it.path} by ${sender.label}") }
+    }
+
     private fun noteMoves(value: Fields) {
         val next = try {
             RolloutRecord.parse(value)
@@ -67,6 +77,7 @@
     }
 
     private companion object {
+        val conditional = listOf(Keys.NODES, Keys.LEADER, Keys.TOKEN, "page/", Keys.ROLLOUT, Keys.MIGRATIONS)
         val allowed = mapOf(
             GateState.DORMANT to setOf(GateState.READY),
             GateState.READY to setOf(GateState.DORMANT, GateState.ENABLED),
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -138,6 +138,12 @@
                 }
             }
 
+            // That many jobs, numbered from the first, one after the other.
+            "submit-stream" -> repeat(words[2].toInt()) { index ->
+                val jobId = "wk-${words[1].substringAfter('-').toInt() + index}"
+                world.after((index * words[3].toDouble() * 1000).toLong()) { act(listOf("submit", jobId) + words.drop(4)) }
+            }
+
             "abort" -> if (args["insist"] == "true") {
                 insist(words[1], { c, answer -> c.abort(words[1], answer) })
             } else {
--- a/src/test/kotlin/io/reedmast/sim/SimState.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimState.kt
@@ -127,6 +127,7 @@
     fun commit(transaction: Transaction): CommitReply {
         expire()
         checkLimits(transaction)
+        world.rolloutRules.sent(transaction)
         if (isTooLarge(transaction)) return CommitReply.Bad("the value is too large")
         val failed = transaction.guards.filter { (entries[it.path]?.version ?: 0L) != it.version }.mapTo(HashSet()) { it.path }
         if (transaction.writes.any { it is Write.Put && it.lease != null && it.lease !in leases }) return CommitReply.Bad("no such lease")
