--- a/src/test/kotlin/io/reedmast/rollout/EmbeddedRolloutTest.kt
+++ b/src/test/kotlin/io/reedmast/rollout/EmbeddedRolloutTest.kt
@@ -1,60 +1,16 @@
 package io.reedmast.rollout
 
-import io.reedmast.state.Change
-import io.reedmast.state.Fetched
 import io.reedmast.state.Guard
-import io.reedmast.state.Item
 import io.reedmast.state.Keys
-import io.reedmast.state.Outcome
-import io.reedmast.state.Write
 import io.reedmast.wire.Fields
 import io.reedmast.wire.MalformedException
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import java.util.TreeMap
 
 /** The rollout as another program embeds it: a store of its own, features of its own, and no controller. */
 class EmbeddedRolloutTest {
-    /** Conditional writes over a map; [lose] has the next change carried out without an answer. */
-    private class MapStore : RolloutStore {
-        val items = TreeMap<String, Item>()
-        private var revision = 0L
-        var reads = 0
-        var fullness = 1.0
-        var hold: MutableList<() -> Unit>? = null
-
-        fun put(path: String, value: Fields) {
-            items[path] = Item(path, value, ++revision)
-        }
-
-        override fun commit(change: Change) {
-            hold?.let { held ->
-                held.add { apply(change) }
-                return
-            }
-            apply(change)
-        }
-
-        private fun apply(change: Change) {
-            val failed = change.guards.filter { (items[it.path]?.version ?: 0L) != it.version }.mapTo(HashSet()) { it.path }
-            if (failed.isNotEmpty()) return change.done(Outcome.Conflict(failed))
-            revision++
-            change.writes.forEach { if (it is Write.Put) items[it.path] = Item(it.path, it.value, revision) else items.remove(it.path) }
-            change.done(Outcome.Applied(revision))
-        }
-
-        override fun get(path: String, done: (Fetched) -> Unit) {
-            reads++
-            done(items[path]?.let { Fetched.Found(it) } ?: Fetched.Missing)
-        }
-
-        override fun list(prefix: String, done: (List<Item>?) -> Unit) = done(items.tailMap(prefix).values.takeWhile { it.path.startsWith(prefix) })
-
-        override fun writeFullness() = fullness
-    }
-
     /** Counters in words become numbers. */
     private object Numbers : RecordMigration {
         override val scope = MigrationScope.SLICE
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/rollout/RolloutAdministrationTest.kt
@@ -0,0 +1,142 @@
+package io.reedmast.rollout
+
+import io.reedmast.state.Item
+import io.reedmast.state.Keys
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Operators' acts: what is refused and why, and two operators in the same moment. */
+class RolloutAdministrationTest {
+    private val store = MapStore()
+    private val base = Feature(FeatureName("base"), FormatVersion(1))
+    private val feature = Feature(FeatureName("feature"), FormatVersion(1), setOf(base.name))
+    private val registry = FeatureRegistry(listOf(base, feature), VersionRange(FormatVersion.NONE, FormatVersion(1)))
+    private var owners = listOf("n0", "n1")
+
+    private val records = object : ClusterRecords {
+        override fun sliceOwners(items: List<Item>) = owners.mapIndexed { i, owner -> SliceOwnership(owner, store.items[Keys.slice(i)]?.version ?: 0L) }
+
+        override fun externallyFinalized(items: List<Item>) = emptySet<FeatureName>()
+    }
+    private val administration = RolloutAdministration(registry, setOf("n0", "n1"), records, { 0L }, store)
+    private val act = Act("somebody", "a reason")
+
+    private fun present(label: String, drained: Boolean = false) =
+        store.put(Keys.node(label), MemberVersions(registry.range, emptyMap(), "$label-life", drained).toFields())
+
+    private fun result(act: (((ActResult) -> Unit)) -> Unit): ActResult? {
+        var result: ActResult? = null
+        act { result = it }
+        return result
+    }
+
+    private fun refused(reason: String, act: (((ActResult) -> Unit)) -> Unit) {
+        val refused = result(act) as? ActResult.Refused
+        assertTrue(refused?.reason?.contains(reason) ?: false, "$refused")
+    }
+
+    private fun record(): RolloutRecord = store.items[Keys.ROLLOUT]?.let { RolloutRecord.parse(it.value) } ?: RolloutRecord()
+
+    @Test
+    fun `an exclusion of an unknown, a living, an owning and the last controller is refused`() {
+        present("n0")
+        present("n1")
+        refused("no controller n7") { administration.exclude("n7", act, it) }
+        refused("n1 is alive") { administration.exclude("n1", act, it) }
+        store.items.remove(Keys.node("n1"))
+        refused("still owns slice 1") { administration.exclude("n1", act, it) }
+        owners = listOf("n0", "n0")
+        assertEquals(ActResult.Done, result { administration.exclude("n1", act, it) })
+        refused("excluded already") { administration.exclude("n1", act, it) }
+        refused("the last controller") { administration.exclude("n0", act, it) }
+        assertEquals(ActResult.Done, result { administration.include("n1", act, it) })
+        refused("not excluded") { administration.include("n1", act, it) }
+    }
+
+    @Test
+    fun `an exclusion fails if the controller comes back in the same moment`() {
+        owners = listOf("n0", "n0")
+        present("n0")
+        val held = ArrayList<() -> Unit>().also { store.hold = it }
+        var result: ActResult? = null
+        administration.exclude("n1", act) { result = it }
+        store.hold = null
+        present("n1")
+        held.forEach { it() }
+        assertTrue((result as? ActResult.Refused)?.reason?.contains("c/node/n1 changed meanwhile") ?: false, "$result")
+    }
+
+    @Test
+    fun `of two operators who act at once the second is told, and the record keeps who wished what`() {
+        present("n0")
+        present("n1")
+        val held = ArrayList<() -> Unit>().also { store.hold = it }
+        var first: ActResult? = null
+        administration.wish(base.name, Target.ENABLED, Act("first", "early"), { first = it })
+        store.hold = null
+        assertEquals(ActResult.Done, result { administration.wish(base.name, Target.DORMANT, Act("second", "late"), it) })
+        held.forEach { it() }
+        assertTrue((first as? ActResult.Refused)?.reason?.contains("changed meanwhile") ?: false, "$first")
+        assertEquals("second", record().wishes.getValue(base.name).made.by)
+        assertEquals(listOf("base wished dormant"), record().history.map { it.what })
+    }
+
+    @Test
+    fun `wishes that cannot come true are refused`() {
+        refused("there is no feature") { administration.wish(FeatureName("other"), Target.ENABLED, act, it) }
+        assertEquals(ActResult.Done, result { administration.wish(base.name, Target.DORMANT, act, it) })
+        refused("base, which is wished dormant") { administration.wish(feature.name, Target.ENABLED, act, it) }
+        val made = Provenance.of("a test", 0L, "a reason")
+        store.put(Keys.ROLLOUT, record().moved(base, GateState.FINALIZED, made).toFields())
+        refused("is finalized") { administration.wish(base.name, Target.DORMANT, act, it) }
+    }
+
+    @Test
+    fun `a controller may be stopped once it is drained and the others have all slices`() {
+        fun reasons(label: String): String {
+            var readiness: Readiness? = null
+            administration.readiness(label) { readiness = it }
+            return (readiness as? Readiness.NotReady)?.reasons?.joinToString().orEmpty()
+        }
+        present("n0")
+        assertTrue("n1 is silent" in reasons("n0"))
+        present("n1")
+        assertTrue("n1 owns slice 1" in reasons("n1"))
+        assertEquals(ActResult.Done, result { administration.drain("n1", act, it) })
+        refused("n1 is being drained") { administration.drain("n0", act, it) }
+        assertTrue("n1 is being drained" in reasons("n0"))
+        owners = listOf("n0", "n0")
+        assertTrue("has not said that it is drained" in reasons("n1"))
+        present("n1", drained = true)
+        assertEquals("", reasons("n1"))
+        assertEquals(ActResult.Done, result { administration.endDrain("n1", it) })
+        refused("not being drained") { administration.endDrain("n1", it) }
+    }
+
+    @Test
+    fun `nothing is changed while the record of the rollout cannot be read`() {
+        store.put(Keys.ROLLOUT, mapOf("layout" to 99L))
+        val before = store.items.toMap()
+        refused("its layout is 99") { administration.wish(base.name, Target.ENABLED, act, it) }
+        refused("its layout is 99") { administration.exclude("n1", act, it) }
+        assertEquals(before, store.items.toMap())
+    }
+
+    /** The largest record that operators can bring about fits the smallest values. */
+    @Test
+    fun `long reasons do not make the record too large`() {
+        var record = RolloutRecord()
+        repeat(40) { i ->
+            val made = Provenance.of("operator-$i", Long.MAX_VALUE, "x".repeat(500))
+            record =
+                record.wishing(
+                    base.name,
+                    Target.ENABLED,
+                    made,
+                ).moved(base, GateState.READY, made).wishing(feature.name, Target.ENABLED, made).moved(feature, GateState.READY, made)
+        }
+        val size = io.reedmast.wire.Tree.jsonSize(record.toFields())
+        assertTrue(size < 2_000, "$size")
+    }
+}
