--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -7,8 +7,6 @@
 import io.reedmast.gangs.GangCoordinator
 import io.reedmast.ownership.ClusterRollout
 import io.reedmast.ownership.SliceRecord
-import io.reedmast.peers.JobProgress
-import io.reedmast.peers.PeerMessage
 import io.reedmast.placement.Placer
 import io.reedmast.ports.Clock
 import io.reedmast.ports.Gateway
@@ -26,10 +24,8 @@
 import io.reedmast.workers.Commands
 import io.reedmast.workers.HostDirectory
 import io.reedmast.workers.HostRecord
-import io.reedmast.workers.Machine
 import io.reedmast.workers.MachineLifecycle
 import io.reedmast.workers.Reports
-import io.reedmast.workers.Retirement
 import org.slf4j.LoggerFactory
 
 /** The records of slices and their machines, which their owner asks to change and others may change too. */
@@ -96,8 +92,8 @@
             records.removeHosts(index, it)
         }, { records.handOver(index, it) }, { records.requestTakeover(index) })
     private val migration = records.rollout.reconciler(MigrationUnit.Slice(slice), progressStore.access)
-    private var tellDue = 0L
-    private var tellings = 0
+    private val machines = SliceMachines(sliceState, lifecycle, records)
+    private val news = SliceNews(sliceState, out, records)
 
     val token: Long get() = sliceState.token
 
@@ -126,7 +122,7 @@
         live.forEach { addJob(it) }
         val chunkSizes = live.associate { it.record.spec.jobId to it.record.chunkSize }
         progressStore.load(pages, chunkSizes) { job, stored ->
-            val placement = Placement(job, stored.task, stored.attempt, machineFor(stored.host), clock.now())
+            val placement = Placement(job, stored.task, stored.attempt, machines.named(stored.host), clock.now())
             placement.committed = true
             sliceState.place(placement)
         }
@@ -158,11 +154,6 @@
         job.unservedSince = since
     }
 
-    /** A machine that a stored placement names but the slice does not have any more: kept until it is returned. */
-    private fun machineFor(host: String): Machine = sliceState.machines.getOrPut(host) {
-        Machine(HostRecord(host, "", "", false), null, clock.now(), token).apply { retirement = Retirement.SILENT }
-    }
-
     /** Takes up the slice's record as it now stands: our token may have been raised for a machine that moves here. */
     fun sync(record: SliceRecord, term: Long) {
         if (term < sliceState.term) return
@@ -174,43 +165,9 @@
     }
 
     /** Takes up the machines that the records now name for the slice. */
-    fun syncHosts() {
-        val named = records.machinesOf(index)
-        val names = named.keys.mapTo(HashSet()) { it.name }
-        lifecycle.noteRecorded(names)
-        for ((host, to) in named) {
-            if (lifecycle.isGone(host.name)) continue
-            val known = sliceState.machines[host.name]
-            val machine = if (known == null || known.record.typeName.isEmpty()) added(host, known) else known
-            if (to != null && machine.retirement == null) {
-                machine.retirement = Retirement.MOVING
-                machine.movingSince = clock.now()
-            }
-            if (to == null && machine.retirement == Retirement.MOVING) machine.retirement = null
-        }
-        // A machine that has left for another slice left it empty.
-        sliceState.machines.values.removeIf { it.name !in names && it.placements.isEmpty() && !it.returning }
-        sliceState.placeWanted = true
-    }
-
-    private fun added(host: HostRecord, known: Machine?): Machine {
-        val machine = Machine(host, sliceState.machineTypeOf(host.typeName), clock.now(), token, records.hostDirectory.of(host.name))
-        // An address known from another owner: the machine was up before.
-        machine.everHeard = machine.addr != null
-        known?.placements?.values?.toList()?.forEach { old ->
-            val placement = Placement(old.job, old.task, old.attempt, machine, old.madeAt).apply { committed = old.committed }
-            old.job.chunkOf(old.task).placements[old.task] = placement
-            machine.add(placement)
-        }
-        sliceState.machines[host.name] = machine
-        return machine
-    }
+    fun syncHosts() = machines.sync()
 
-    fun machineTypesChanged() {
-        for (machine in sliceState.machines.values) sliceState.machineTypeOf(machine.record.typeName)?.let { machine.machineType = it }
-        sliceState.jobs.values.forEach { it.dearTypes.clear() }
-        sliceState.placeWanted = true
-    }
+    fun machineTypesChanged() = machines.typesChanged()
 
     // ---- jobs -----------------------------------------------------------------------------------------------------
 
@@ -352,7 +309,7 @@
         // Waiting may itself let work start: after a failure's pause, or once it has waited long enough to preempt.
         if (sliceState.jobs.values.any { it.waitingCount > 0 }) sliceState.placeWanted = true
         if (sliceState.fresh()) totalsWriter.tick(now)
-        tellPeers(now)
+        news.tellIfDue(now)
     }
 
     private var compareDue = 0L
@@ -379,30 +336,9 @@
         sliceState.charge(seconds)
     }
 
-    /** Tells the other nodes how far jobs are, for their users' display, and what helps whoever takes the slice over. */
-    private fun tellPeers(now: Long) {
-        if (now < tellDue) return
-        tellDue = now + TELL_EVERY_MS
-        // A node that has just come back knows nothing: now and then all is told again.
-        val all = ++tellings % TELL_ALL_EACH == 0
-        val news = ArrayList<JobProgress>()
-        for (job in sliceState.jobs.values) {
-            if (!all && job.doneCount == job.toldDone && job.runningCount == job.toldRunning) continue
-            job.toldDone = job.doneCount
-            job.toldRunning = job.runningCount
-            news.add(JobProgress(job.spec.jobId, job.doneCount, job.runningCount))
-        }
-        val hosts = records.hostDirectory.news(sliceState.machines.keys, all)
-        if (news.isEmpty() && hosts.isEmpty()) return
-        records.jobs.noteProgress(news)
-        out.sendToPeers(PeerMessage.SliceNews(news, hosts))
-    }
-
     private companion object {
         const val COMPARE_EVERY_MS = 5_000L
         const val CHARGE_EVERY_S = 1.0
         const val MOST_CHARGED_S = 60.0
-        const val TELL_EVERY_MS = 1_000L
-        const val TELL_ALL_EACH = 10
     }
 }
