--- a/src/test/kotlin/io/reedmast/sim/RolloutRules.kt
+++ b/src/test/kotlin/io/reedmast/sim/RolloutRules.kt
@@ -9,6 +9,7 @@
 import io.reedmast.state.Write
 import io.reedmast.wire.Fields
 import io.reedmast.wire.MalformedException
+import io.reedmast.wire.StateMessages
 
 /**
  * The rules of the rollout, checked on every value that is stored and every page that is read, by what the state service holds: gates move
@@ -29,6 +30,8 @@
         val (feature, isNew) = state(path, value) ?: return
         val now = record.stateOf(feature)
         val newAllowed = now == GateState.ENABLED || now == GateState.FINALIZED
+        if (path == Keys.TOKEN && !isNew && takesOpenCounter(value)) return
+        if (path == Keys.TOKEN) counterIsOpen = !isNew
         if (isNew !=
             newAllowed
         ) {
@@ -36,6 +39,14 @@
         }
     }
 
+    private var counterIsOpen = true
+
+    /** A version from before the rollout may take slices until the counter has been migrated; what depends on the fence waits for that. */
+    private fun takesOpenCounter(value: Fields): Boolean {
+        val sender = StateMessages.transactionId(value) ?: return false
+        return counterIsOpen && world.nodes.any { it.wasOld(sender) }
+    }
+
     /** Whatever lets a process take part, or has a form that depends on the gates, is on condition that they are as the process has read them. */
     fun sent(transaction: Transaction) {
         val sender = world.nodes.firstOrNull { transaction.id.startsWith("${it.label}-") } ?: return
