--- a/src/main/kotlin/io/reedmast/rollout/MigrationReconciler.kt
+++ b/src/main/kotlin/io/reedmast/rollout/MigrationReconciler.kt
@@ -76,9 +76,8 @@
         if (busy || now() < due) return
         val current = pass?.takeIf { it.gates.version == gates.version && it.fence == fence } ?: begin(gates, fence, view)
         pass = current
-        if (current == null || !isAffordable()) return
+        if (current == null) return
         due = now() + pace.everyMs
-        overdueAt = now() + pace.overdueMs
         val keys = current.keys
         if (keys == null) list(current) else next(current, keys)
     }
@@ -123,13 +122,13 @@
             save(of, of.progress)
             return
         }
-        if (!access.tryAcquire(path)) return
         busy = true
         store.get(path) { fetched ->
+            busy = false
             when (fetched) {
                 is Fetched.Found -> migrate(of, fetched.item)
-                Fetched.Missing -> done(of, path, null) { it }
-                Fetched.Failed -> release(path, null)
+                Fetched.Missing -> done(of, path) { it }
+                Fetched.Failed -> Unit
             }
         }
     }
@@ -140,39 +139,38 @@
             if (of.progress.direction == Direction.FORWARD) of.migration.forward(record) else of.migration.back(record)
         } catch (e: MalformedException) {
             log.error("{}: record {} cannot be read and is left as it is: {}", of.feature.name, item.path, e.message)
-            done(of, item.path, null) { it.copy(unreadable = it.unreadable + 1) }
+            done(of, item.path) { it.copy(unreadable = it.unreadable + 1) }
             return
         }
         when {
-            wanted == record -> done(of, item.path, null) { it }
-            Tree.jsonSize(wanted) + TRANSACTION_ID_BYTES > valueBytes() -> done(of, item.path, null) { it.copy(oversized = it.oversized + 1) }
-            else -> write(of, item, wanted)
+            wanted == record -> done(of, item.path) { it }
+            Tree.jsonSize(wanted) + TRANSACTION_ID_BYTES > valueBytes() -> done(of, item.path) { it.copy(oversized = it.oversized + 1) }
+            !isAffordable() -> due = now() + AFTER_REFUSAL_MS
+            access.tryAcquire(item.path) -> write(of, item, wanted)
         }
     }
 
     private fun write(of: Pass, item: Item, wanted: Fields) {
+        busy = true
+        overdueAt = now() + pace.overdueMs
         val guards = listOf(of.fence, of.gates.guard, Guard(item.path, item.version)).distinct()
         store.commit(
             Change(guards, listOf(Write.Put(item.path, wanted)), WritePriority.LAZY) { outcome ->
+                busy = false
+                access.release(item.path, (outcome as? Outcome.Applied)?.revision)
                 when (outcome) {
-                    is Outcome.Applied -> done(of, item.path, outcome.revision) { it.copy(migrated = it.migrated + 1) }
+                    is Outcome.Applied -> done(of, item.path) { it.copy(migrated = it.migrated + 1) }
 
                     // The record has moved on, and is read again; or the gates or the fence have, and the pass is over.
-                    is Outcome.Conflict -> release(item.path, null)
+                    is Outcome.Conflict -> Unit
 
-                    is Outcome.Refused -> done(of, item.path, null) { it.copy(oversized = it.oversized + 1) }
+                    is Outcome.Refused -> done(of, item.path) { it.copy(oversized = it.oversized + 1) }
                 }
             },
         )
     }
 
-    private fun release(path: String, version: Long?) {
-        busy = false
-        access.release(path, version)
-    }
-
-    private fun done(of: Pass, path: String, version: Long?, count: (MigrationProgress) -> MigrationProgress) {
-        release(path, version)
+    private fun done(of: Pass, path: String, count: (MigrationProgress) -> MigrationProgress) {
         of.keys?.remove(path)
         of.progress = count(of.progress).copy(after = path)
         of.sinceSaved++
@@ -217,6 +215,7 @@
         const val SAVE_EVERY = 16
         const val RETRY_BLOCKED_MS = 30_000L
         const val AFTER_CONFLICT_MS = 1_000L
+        const val AFTER_REFUSAL_MS = 500L
 
         /** What a value grows by when it is stored. */
         const val TRANSACTION_ID_BYTES = 64
--- a/src/test/kotlin/io/reedmast/rollout/EmbeddedRolloutTest.kt
+++ b/src/test/kotlin/io/reedmast/rollout/EmbeddedRolloutTest.kt
@@ -134,8 +134,10 @@
         val reconciler = reconciler().apply { run(10) }
         assertEquals(listOf("0", "1"), counts())
         // Where that is always so, a record goes now and then.
-        reconciler.run(1_100)
+        reconciler.run(600)
         assertEquals(1, counts().count { it is Long })
+        reconciler.run(600)
+        assertEquals(2, counts().count { it is Long })
     }
 
     @Test
