--- a/src/main/kotlin/io/reedmast/rollout/MigrationReconciler.kt
+++ b/src/main/kotlin/io/reedmast/rollout/MigrationReconciler.kt
@@ -38,8 +38,8 @@
  * Brings the records of one [unit] to the form that the gates want, one record at a time.
  *
  * It compares what is wanted with the stored progress and works on the difference, so that it goes on where any process stopped. Each
- * record is written on condition that it, the gates and the [fence][tick] are unchanged: a write that is carried out late finds that one of
- * them has moved. Records that cannot be read are counted and left alone.
+ * record is written on condition that it, the gates and the fence given to [tick] are unchanged: a write that is carried out late finds that
+ * one of them has moved. Records that cannot be read are counted and left alone.
  *
  * @param valueBytes what a value may hold
  */
--- a/src/main/kotlin/io/reedmast/rollout/RolloutView.kt
+++ b/src/main/kotlin/io/reedmast/rollout/RolloutView.kt
@@ -34,15 +34,14 @@
     private val progress = HashMap<Pair<FeatureName, MigrationUnit>, StoredProgress>()
     private val drains = HashMap<String, StoredDrain>()
     private var seenVersion = 0L
-    private var unreadable: String? = null
 
     /** The gates as last read. While the record cannot be read they are those of before, whose version no write can match. */
     var gates: GateSnapshot = GateSnapshot.NONE
         private set
 
-    /** Whether this process may take part, by what it has read so far. */
-    val admission: Admission
-        get() = unreadable?.let { Admission.Withheld(it) } ?: Admission.of(self, registry.range, gates.record)
+    /** Whether this process may take part, by what it has read so far. It is asked for with every decision, and worked out with every change. */
+    var admission: Admission = Admission.Admitted
+        private set
 
     val members: Map<String, PresentMember> get() = present
 
@@ -58,8 +57,7 @@
         progress.clear()
         drains.clear()
         seenVersion = 0L
-        unreadable = null
-        gates = GateSnapshot.NONE
+        accept(GateSnapshot.NONE)
     }
 
     /** Takes up the value under [path], if it is one of the rollout's keys; a null [value] is a deletion. */
@@ -76,14 +74,19 @@
         if (version <= seenVersion) return
         seenVersion = version
         try {
-            gates = if (value == null) GateSnapshot.NONE else GateSnapshot(RolloutRecord.parse(value), version)
-            unreadable = null
+            accept(if (value == null) GateSnapshot.NONE else GateSnapshot(RolloutRecord.parse(value), version))
         } catch (e: MalformedException) {
-            unreadable = "${Keys.ROLLOUT} cannot be read: ${e.message}"
-            log.error("{}: nothing is written until it can be", unreadable)
+            val reason = "${Keys.ROLLOUT} cannot be read: ${e.message}"
+            admission = Admission.Withheld(reason)
+            log.error("{}: nothing is written until it can be", reason)
         }
     }
 
+    private fun accept(snapshot: GateSnapshot) {
+        gates = snapshot
+        admission = Admission.of(self, registry.range, snapshot.record)
+    }
+
     private fun seeMember(label: String, value: Fields?, version: Long) {
         if (value == null) {
             present.remove(label)
