Totals wait for admission only, as before for nothing

Ruled out: processor time, start-up, takeovers, the time to place lost replicas again. Cause: so that nothing is written while the record of the rollout cannot be read, owners had stopped telling what they want whenever they had not heard the state service for a moment, which is when machines are needed most.

--- a/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
+++ b/src/main/kotlin/io/reedmast/jobs/SliceOwner.kt
@@ -308,7 +308,8 @@
         lifecycle.tick(now)
         // Waiting may itself let work start: after a failure's pause, or once it has waited long enough to preempt.
         if (sliceState.jobs.values.any { it.waitingCount > 0 }) sliceState.placeWanted = true
-        if (sliceState.fresh()) totalsWriter.tick(now)
+        // Also while this node has not heard the state service for a moment: what it wants goes out as soon as that answers again.
+        if (records.rollout.isAdmitted) totalsWriter.tick(now)
         news.tellIfDue(now)
     }
 
