--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -183,6 +183,7 @@
             }
             // What the node's deploy file wishes, from its next start on.
             "desire" -> world.nodes.first { it.label == words[1] }.desired = args.entries.associate { FeatureName(it.key) to Target.of(it.value) }
+            "clock-error" -> world.nodes.first { it.label == words[1] }.clockErrorMs = words[2].toLong()
             "note-writes" -> notedWrites = world.state.changes
             "operator" -> rolloutOperator.act(words.drop(1))
             // The state service takes less from now on, without a word.
--- a/src/test/kotlin/io/reedmast/sim/SimNode.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimNode.kt
@@ -3,6 +3,7 @@
 import io.reedmast.app.Controller
 import io.reedmast.ownership.ClusterFeatures
 import io.reedmast.peers.PeerMessage
+import io.reedmast.ports.Clock
 import io.reedmast.rollout.FeatureName
 import io.reedmast.rollout.FeatureRegistry
 import io.reedmast.rollout.FormatVersion
@@ -53,6 +54,14 @@
     /** The newest stored form that the process reads. */
     val readsUpTo: Int get() = if (old) 0 else newestVersion.value
 
+    /** How far its time of day is from the true one. */
+    var clockErrorMs = 0L
+    private val clock = object : Clock {
+        override fun now() = world.now()
+
+        override fun wall() = world.wall() + clockErrorMs
+    }
+
     /** What its deploy file wishes. */
     var desired: Map<FeatureName, Target> = emptyMap()
 
@@ -92,7 +101,7 @@
         val settings = world.settingsOf(index).let { if (old) it.copy(nextStateLimits = null) else it }
         val limits = LimitsInForce(settings.stateLimits, settings.nextStateLimits)
         val gateway = SimGateway(world, this, life, limits, incarnation)
-        controller = Controller(settings, world.tuning, world, gateway, limits, incarnation, RolloutOptions(registry(), desired))
+        controller = Controller(settings, world.tuning, clock, gateway, limits, incarnation, RolloutOptions(registry(), desired))
         tick(life)
         watch(life)
     }
