A machine in two shards: log lines that tell who assigned it, and red tests

The logs could not tell who assigned a machine, nor for what reason: lines for rentals with their shard, for what was added to a shard with its revision, the revision of transfers, and one error line a machine that the records of several shards name.

--- a/src/main/kotlin/io/reedmast/autoscaling/MachineIntake.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/MachineIntake.kt
@@ -3,9 +3,12 @@
 import io.reedmast.model.MachineRecord
 import io.reedmast.settings.ShardId
 import io.reedmast.wire.MachineType
+import org.slf4j.LoggerFactory
 
 /** Assigns machines that belong to no shard to one, whether they were rented or found by their heartbeats. */
 internal class MachineIntake(private val fleet: FleetView, private val machineTypes: () -> Map<String, MachineType>) {
+    private val log = LoggerFactory.getLogger("autoscaler")
+
     /** The shard that a machine is meant for, and the highest token that its worker has seen. */
     private data class Destination(val shard: ShardId, val seenToken: Long)
 
@@ -47,7 +50,9 @@
         fleet.addMachines(shard, records, seenToken) { addedNames ->
             assigning.remove(shard)
             if (addedNames.isNotEmpty()) {
-                lastChangedVersion[shard] = fleet.machinesVersion(shard)
+                val version = fleet.machinesVersion(shard)
+                lastChangedVersion[shard] = version
+                log.info("machines {}: added to shard {}, revision {}", addedNames, shard.value, version)
                 unassigned.keys.removeIf { it.name in addedNames }
             }
         }
--- a/src/main/kotlin/io/reedmast/autoscaling/MachineProvisioner.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/MachineProvisioner.kt
@@ -91,6 +91,7 @@
             List(allocation.machineCount) { allocation.shard }
         }
         for ((machineName, shard) in machineNames.zip(shardOfEach)) {
+            log.info("machine {}: rented for shard {}, request {}", machineName, shard.value, request.requestName)
             intake.add(
                 MachineRecord(machineName, request.typeName, request.zone, request.spot),
                 shard,
--- a/src/main/kotlin/io/reedmast/cluster/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/cluster/Cluster.kt
@@ -86,6 +86,8 @@
     private val peerStatuses = PeerStatuses(settings.self, settings.members.size, incarnation)
     private val peerMessages = PeerMessageHandler(settings, clock, gateway, tables, failover, peerStatuses)
 
+    private val contestedMachineLog = ContestedMachineLog(machines)
+
     private var reducedLimitsShared = false
     private var releaseDueAt = 0L
 
@@ -165,6 +167,7 @@
         val now = clock.now()
         peerMessages.queryStatuses(now)
         departedMachines.expire(now)
+        contestedMachineLog.runOnce()
         if (isCurrent()) {
             membership.claimKeys(mayLead = !rollout.isDraining)
             rollout.runOnce(membership.leaderVersion.takeIf { membership.leading })
--- a/src/main/kotlin/io/reedmast/cluster/MachineTable.kt
+++ b/src/main/kotlin/io/reedmast/cluster/MachineTable.kt
@@ -25,6 +25,10 @@
 ) {
     private val partsByShard = Array(shardCount) { TreeMap<Int, StoredMachineListPart>() }
     private val shardByMachine = HashMap<String, ShardId>()
+    private val recordedShards = RecordedShards()
+
+    /** The names of the machines that the records of several shards name. */
+    val contested: Set<String> get() = recordedShards.contested
 
     /** The shard that the machine belongs to, if any. */
     fun shardOf(machineName: String): ShardId? = shardByMachine[machineName]
@@ -46,6 +50,15 @@
     /** The version of the newest change to the shard's machines. */
     fun versionOf(shard: ShardId): Long = partsByShard[shard.value].values.maxOfOrNull { it.version } ?: 0L
 
+    /** A record of machines, by its shard and version. */
+    class RecordVersion(val shard: ShardId, val index: Int, val version: Long)
+
+    /** The records that name the machine. */
+    fun recordsNaming(machineName: String): List<RecordVersion> = recordedShards.of(machineName).flatMap { shard ->
+        partsOf(shard).filterValues { it.part.holds(machineName) }
+            .map { (index, stored) -> RecordVersion(shard, index, stored.version) }
+    }
+
     /** The machines of a shard, each with the shard that it is to move to, if any. */
     fun transferTargetsOf(shard: ShardId): Map<MachineRecord, Int?> {
         val targets = LinkedHashMap<MachineRecord, Int?>()
@@ -73,6 +86,7 @@
         previous?.part?.records.orEmpty().filter { it.name !in names }.forEach { onRemoved(shard, it.name) }
         for (record in part.records) {
             shardByMachine[record.name] = shard
+            recordedShards.add(record.name, shard)
             departed.remove(record.name)
         }
         onChange(shard)
@@ -80,7 +94,9 @@
     }
 
     private fun onRemoved(shard: ShardId, machineName: String) {
-        if (shardByMachine[machineName] != shard || machinesOf(shard).any { it.name == machineName }) return
+        if (machinesOf(shard).any { it.name == machineName }) return
+        recordedShards.remove(machineName, shard)
+        if (shardByMachine[machineName] != shard) return
         shardByMachine.remove(machineName)
         departed.add(machineName)
         onDeparture(machineName)
--- a/src/main/kotlin/io/reedmast/cluster/MachineTransfer.kt
+++ b/src/main/kotlin/io/reedmast/cluster/MachineTransfer.kt
@@ -127,7 +127,7 @@
         val destination = transfer.destination
         val from = source.shard.value
         val to = destination.shard.value
-        log.info("machines {}: transferred from shard {} to shard {}", transfer.moved, from, to)
+        log.info("machines {}: transferred from shard {} to shard {}, revision {}", transfer.moved, from, to, revision)
         renewal?.applyTo(shards, revision)
         // In this order the machines belong to some shard all the time.
         machines.applyPart(destination.shard, destination.extended.index, destination.extended.part, revision)
--- a/src/test/kotlin/io/reedmast/LargeFaultTest.kt
+++ b/src/test/kotlin/io/reedmast/LargeFaultTest.kt
@@ -30,6 +30,17 @@
         play("rollout day $seed", LargeDay(seed, upgrade = true, rollout = true))
     }
 
+    /** Most machines are rented during the day, and their workers report before the rentals are answered. */
+    @TestFactory
+    fun `days of slow rentals`(): List<DynamicTest> = seeds(RENTAL_DAYS).map { seed ->
+        play("rental day $seed", LargeDay(seed, rentals = true))
+    }
+
+    /** As many machines as any deployment has, three quarters of them rented during the day. */
+    @TestFactory
+    fun `slow rentals of four thousand machines`(): List<DynamicTest> =
+        listOf(play("4,000 machines", LargeDay(seed = 4, rentals = true, machines = 4_000, jobs = 600)))
+
     /** As many machines as any deployment has: nothing may hold fewer. */
     @TestFactory
     fun `an upgrade of four thousand machines`(): List<DynamicTest> =
@@ -55,6 +66,7 @@
         const val DAYS = 8L
         const val UPGRADE_DAYS = 4L
         const val ROLLOUT_DAYS = 3L
+        const val RENTAL_DAYS = 3L
         const val MAX_SHOWN = 4_000
     }
 }
--- a/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
+++ b/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
@@ -30,6 +30,10 @@
     @TestFactory
     fun `days of a rollout`(): List<DynamicTest> = play("rollout day") { RandomDay(it, rollout = true) }
 
+    /** Machines boot at once, and answers to rentals are late or lost: workers report before anybody expects them. */
+    @TestFactory
+    fun `days of slow rentals`(): List<DynamicTest> = play("rental day") { RandomDay(it, rentals = true) }
+
     private fun play(name: String, day: (Long) -> RandomDay): List<DynamicTest> = seeds().map { seed ->
         DynamicTest.dynamicTest("$name $seed") {
             val lines = day(seed).lines()
--- /dev/null
+++ b/src/test/kotlin/io/reedmast/autoscaling/RentalRaceTest.kt
@@ -0,0 +1,69 @@
+package io.reedmast.autoscaling
+
+import io.reedmast.sim.Scenario
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+
+/**
+ * A worker boots at once and sends its first heartbeat before the cloud has answered the rental of its machine.
+ *
+ * The leader finds that the machine belongs to no shard and stores it in the shard with the fewest CPUs. While that
+ * write is on its way the answer to the rental comes, which names another shard, and the leader stored the machine there
+ * as well. Both owners placed work on it; one of them heard nothing from it, and returned it under the work of the
+ * other. The stand-in store sees it as "in_two_shards host-000000: c/hosts/1/0 and c/hosts/0/0"; the controllers log
+ * "machine host-000000: sends heartbeats and belongs to no shard, assigned to shard 0", then "machine host-000000:
+ * rented for shard 1", then "added to shard 0" and "added to shard 1" with two revisions.
+ *
+ * The moment of the answer is moved over all stages of the intake, the answer is lost and the request repeated by its
+ * name, the write is slow, unanswered or late, and the leader ends or is cut off around it.
+ */
+class RentalRaceTest {
+    /** What else goes wrong while machines are being rented, with times in seconds. */
+    private enum class Trouble(val lines: List<String>) {
+        NONE(emptyList()),
+        ANSWER_LOST(listOf("at 8.5 lose-rentals 1")),
+        ANSWERS_LOST(listOf("at 8.5 lose-rentals 2")),
+        WRITE_WITHOUT_ANSWER(listOf("at 8.5 lose-answer n0 c/hosts/0", "at 8.5 lose-answer n1 c/hosts/0")),
+        WRITE_LATE(listOf("at 8.5 late-commit n0 6 c/hosts/0")),
+        LEADER_ENDS(listOf("at 9.6 crash n0", "at 10.5 start n0")),
+        LEADER_ENDS_LATER(listOf("at 9.9 crash n0", "at 10 start n0")),
+        LEADER_STANDS_STILL(listOf("at 9.6 stand-still n0 7")),
+        LEADER_DEPOSED(listOf("at 9.6 cut-state n0 on", "at 20 cut-state n0 off")),
+    }
+
+    @TestFactory
+    fun `no machine comes to two shards`(): List<DynamicTest> = Trouble.entries.map { trouble ->
+        DynamicTest.dynamicTest(trouble.name) {
+            for (answerMs in ANSWERS_MS) {
+                for (slowness in SLOWNESSES) play(trouble, answerMs, slowness)
+            }
+        }
+    }
+
+    private fun play(trouble: Trouble, answerMs: Long, slowness: Int) {
+        val events = listOf(
+            "at 1 slow-rentals ${answerMs / MS_PER_S}",
+            "at 8 slow-state $slowness",
+            "at 9 submit wk-1 team=b tasks=2 kind=service priority=urgent insist=true",
+            "at 9 submit wk-2 team=c tasks=6 kind=service priority=urgent insist=true",
+            "at 30 slow-state 1",
+            "at 80 expect running wk-1 2",
+            "at 80 expect running wk-2 6",
+            "at 80 expect starts wk-1 2",
+            "at 80 expect starts wk-2 6",
+        )
+        val lines = HEAD + (events + trouble.lines).sortedBy { it.split(' ')[1].toDouble() }
+        try {
+            Scenario(lines).run()
+        } catch (e: AssertionError) {
+            throw AssertionError("$trouble, $answerMs ms, slowness $slowness: ${e.message}", e)
+        }
+    }
+
+    private companion object {
+        const val MS_PER_S = 1000.0
+        val ANSWERS_MS = listOf<Long>(1, 10, 20, 40, 60, 80, 100, 120, 150, 200, 250, 300, 400, 800, 2_500)
+        val SLOWNESSES = listOf(1, 10, 40)
+        val HEAD = listOf("team a 8 12", "team b 8 12", "team c 8 12", "machine-type m 4 0", "capacity 8")
+    }
+}
--- a/src/test/kotlin/io/reedmast/sim/LargeDay.kt
+++ b/src/test/kotlin/io/reedmast/sim/LargeDay.kt
@@ -7,11 +7,13 @@
  *
  * @property upgrade whether controllers are upgraded one after the other
  * @property rollout whether features are rolled out and taken back
+ * @property rentals whether most machines are rented during the day, boot at once and report before the rental is answered
  */
 class LargeDay(
     private val seed: Long,
     private val upgrade: Boolean = false,
     private val rollout: Boolean = false,
+    private val rentals: Boolean = false,
     machines: Int? = null,
     jobs: Int? = null,
 ) {
@@ -42,15 +44,17 @@
             LAST + 200 to "expect settled",
             LAST + 201 to "expect answered",
         )
-        val zone = machines / 2
+        if (rentals) addSlowRentals(Random(seed xor RENTAL_SEED))
+        val atStart = if (rentals) machines / RENTED_PART else machines
+        val zone = atStart / 2
         val head = listOf(
             "seed $seed",
             "capacity ${machines + machines / 4}",
             "value-kb 8",
             "limits 60 40 400",
-            "machine-type m 8 5",
+            if (rentals) "machine-type m 8 0.2" else "machine-type m 8 5",
             "machines $zone m x",
-            "machines ${machines - zone - zone / 2} m y",
+            "machines ${atStart - zone - zone / 2} m y",
             "machines ${zone / 2} m y spot",
         ) + (if (upgrade) listOf("next-limits 2 5", "old n0 n1 n2") else emptyList()) +
             (0 until TEAMS).map { "team t$it ${machines / 2} ${machines * 2}" }
@@ -124,6 +128,17 @@
         }
     }
 
+    private fun addSlowRentals(chance: Random) {
+        fun moment() = Math.round(chance.nextDouble(2.0, LAST) * 10) / 10.0
+        at(1.0, "slow-rentals 0.4")
+        repeat(8) {
+            at(moment(), "slow-rentals ${chance.nextInt(1, 60) * 0.02}")
+            at(moment(), "lose-rentals ${chance.nextInt(1, 4)}")
+            at(moment(), "slow-state ${chance.nextInt(1, 20)}")
+        }
+        at(LAST - 1, "slow-state 1")
+    }
+
     private fun at(seconds: Double, what: String) = troubles.add(seconds to what)
 
     private fun switch(what: String, from: Double, until: Double, off: String = "off") {
@@ -183,6 +198,10 @@
 
     private companion object {
         const val ROLLOUT_SEED = 0x6a7eL
+        const val RENTAL_SEED = 0x2e47L
+
+        /** One machine of so many is there at the start, if the others are rented during the day. */
+        const val RENTED_PART = 4
         const val GANGS_PART = 10
         const val MEMBERS = 3
         const val TEAMS = 6
--- a/src/test/kotlin/io/reedmast/sim/RandomDay.kt
+++ b/src/test/kotlin/io/reedmast/sim/RandomDay.kt
@@ -8,12 +8,14 @@
  * @property gangs whether gangs come beside the other jobs
  * @property upgrade whether controllers are upgraded one after the other
  * @property rollout whether features are rolled out and taken back
+ * @property rentals whether machines boot at once while answers to rentals are late or lost
  */
 class RandomDay(
     private val seed: Long,
     private val gangs: Boolean = false,
     private val upgrade: Boolean = false,
     private val rollout: Boolean = false,
+    private val rentals: Boolean = false,
 ) {
     private val random = Random(seed)
     private val events = ArrayList<Pair<Double, String>>()
@@ -33,6 +35,7 @@
         val allNewAt = if (upgrade) addUpgrade(Random(seed xor UPGRADE_SEED)) else 0.0
         if (gangs) addGangs(Random(-seed), allNewAt)
         if (rollout) addRollout(Random(seed xor ROLLOUT_SEED))
+        if (rentals) addSlowRentals(Random(seed xor RENTAL_SEED))
         at(LAST, "calm")
         at(LAST + 60, "expect answered")
         at(LAST + 220, "expect settled")
@@ -44,9 +47,9 @@
                 "team a 8 12",
                 "team b 8 12",
                 "team c 0 0",
-                "machine-type m 4 5",
+                if (rentals) "machine-type m 4 ${seed % 4 * 0.1}" else "machine-type m 4 5",
             ) +
-                (0 until MACHINES).map {
+                (0 until if (rentals) seed.toInt() % 3 else MACHINES).map {
                     "machine m ${if (it % 2 == 0) "x" else "y"}${if (it % 4 == 3) " spot" else ""}"
                 }
         return head + (if (upgrade) listOf("value-kb 8", "next-limits 1 5", "old n0 n1 n2") else emptyList()) +
@@ -54,6 +57,21 @@
             events.sortedBy { it.first }.map { "at ${it.first} ${it.second}" }
     }
 
+    /** Workers report before the leader knows that it has rented their machines, more often the slower the store is. */
+    private fun addSlowRentals(chance: Random) {
+        fun moment(from: Double, to: Double) = Math.round(chance.nextDouble(from, to) * 10) / 10.0
+        at(1.0, "slow-rentals ${chance.nextInt(1, 60) * 0.02}")
+        repeat(6) {
+            at(moment(2.0, LAST), "slow-rentals ${chance.nextInt(1, 60) * listOf(0.005, 0.02, 0.1).random(chance)}")
+            at(moment(2.0, LAST), "lose-rentals ${chance.nextInt(1, 4)}")
+        }
+        repeat(2) {
+            val from = moment(2.0, LAST - 10.0)
+            at(from, "slow-state ${chance.nextInt(5, 60)}")
+            at(moment(from, LAST), "slow-state 1")
+        }
+    }
+
     private fun jobs() {
         for (i in 1..JOBS) {
             val service = random.nextInt(3) == 0
@@ -267,6 +285,7 @@
         const val ARRAYS = 5
         const val UPGRADE_SEED = 0x5eedL
         const val ROLLOUT_SEED = 0x6a7eL
+        const val RENTAL_SEED = 0x2e47L
 
         /** Gangs start whole or not at all: enough machines that the largest ones fit beside all services. */
         const val ROOM_FOR_GANGS = 6
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -280,6 +280,10 @@
                 lateCommitMs = (words[2].toDouble() * 1000).toLong()
                 lateCommitOf = words[3]
             }
+            // Machines are rented at once, and the answers to rentals come so much later.
+            "slow-rentals" -> world.rentalAnswerMs = (words[1].toDouble() * 1000).toLong()
+            // So many answers to rentals are lost; the machines are rented all the same.
+            "lose-rentals" -> world.lostRentalAnswers = words[1].toInt()
             "cloud-out" -> world.cloudOut = words[1] == "on"
             "expect" -> expect(words.drop(1), args)
             else -> error("unknown verb ${words[0]}")
--- a/src/test/kotlin/io/reedmast/sim/SimGateway.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimGateway.kt
@@ -292,7 +292,16 @@
             "rent",
             CloudMessages.rental(request.requestName, request.typeName, request.zone, request.spot, request.count),
         )
-        reply(CLOUD_MS, done) { world.provision(request) }
+        if (world.rentalAnswerMs == 0L && world.lostRentalAnswers == 0) {
+            reply(CLOUD_MS, done) { world.provision(request) }
+            return
+        }
+        world.after(CLOUD_MS) {
+            val result = world.provision(request)
+            val isLost = world.lostRentalAnswers > 0
+            if (isLost) world.lostRentalAnswers--
+            reply(world.rentalAnswerMs, done) { if (isLost) ProvisioningResult.Failed else result }
+        }
     }
 
     override fun returnMachines(machineNames: List<String>, done: (ReturnResult) -> Unit) {
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -71,6 +71,12 @@
     /** Machines that were returned, in order. */
     val returned = ArrayList<String>()
 
+    /** Rentals are carried out at once and answered this much later; 0: both happen in the same moment. */
+    var rentalAnswerMs = 0L
+
+    /** So many answers to rentals are lost from now on; the machines are rented all the same. */
+    var lostRentalAnswers = 0
+
     /** The cloud neither rents nor takes machines back while this is set. */
     var cloudOut = false
     val settings = settingsOf(0)
