A machine in two shards: one destination a machine, and writes in the leader's own term

Symptom: a service's tasks started 12 or 16 times instead of 6, a machine returned under the work of another shard.

The intake stored the machine in the shard with the fewest CPUs, and the answer replaced the destination while that write was on its way: both were stored, as no precondition of the one write covers the other. Of the hypotheses, this one is confirmed; that two entries for one machine arose from records that differ in a field was possible and is gone with the new key; that the table let the record applied last win is confirmed (controllers could disagree on who answers the worker).

Change: MachineIntake is keyed by name, with the stages of IntakeStage and one `when` of transitions. Once a write is sent its destination stays until the watch has shown all that was stored by then. A rental met elsewhere waits a round of summaries and resizing before more is rented. Machines that are being returned or have left lately are refused on both ways, an abandoned machine whose return is confirmed counts as departed. A leader assigns only once its watch has reached its own key, and under that key's version: before, a deposed leader took the version of whoever led. MachineTable names the shard with the lowest number for a machine in two records, whatever came last.

--- a/src/main/kotlin/io/reedmast/autoscaling/AbandonedMachines.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/AbandonedMachines.kt
@@ -20,21 +20,16 @@
     private val fleet: FleetView,
     private val machineTypes: () -> Map<String, MachineType>,
     private val intake: MachineIntake,
+    private val pendingReturns: PendingReturns,
 ) {
     private val log = LoggerFactory.getLogger("autoscaler")
 
     /** Since when the cloud has listed a machine that belongs to no shard, in milliseconds. */
     private val unassignedSince = HashMap<String, Long>()
 
-    /** Names of the machines whose return the cloud has not answered yet. */
-    private val returning = HashSet<String>()
-
     /** Another controller has led before: what it knew of machines of no shard is not known here. */
     fun startLeading() = unassignedSince.clear()
 
-    /** Whether the machine's return has been requested and not answered yet. */
-    fun isReturning(machineName: String): Boolean = machineName in returning
-
     /** Returns those of the [machines] listed by the cloud that nobody uses and nobody has come to use in time. */
     fun onMachineList(machines: List<ListedMachine>) {
         val now = clock.now()
@@ -42,7 +37,7 @@
         val expectedNames = intake.unassignedNames
         val (unassigned, accountedFor) = machines.partition { isUnassigned(it.name, expectedNames) }
         accountedFor.forEach { unassignedSince.remove(it.name) }
-        val abandoned = unassigned.filter { isAbandoned(it, now) && it.name !in returning }
+        val abandoned = unassigned.filter { isAbandoned(it, now) && it.name !in pendingReturns }
         if (abandoned.isNotEmpty()) returnMachines(abandoned.take(MAX_MACHINES_PER_RETURN).map { it.name })
     }
 
@@ -63,13 +58,18 @@
 
     private fun returnMachines(machineNames: List<String>) {
         log.info("machines {}: belong to no shard and send no heartbeats, returned", machineNames)
-        returning.addAll(machineNames)
+        pendingReturns.addAll(machineNames)
         cloud.returnMachines(machineNames) { result ->
-            returning.removeAll(machineNames.toSet())
-            if (result == ReturnResult.CONFIRMED) machineNames.forEach { unassignedSince.remove(it) }
+            pendingReturns.removeAll(machineNames)
+            if (result == ReturnResult.CONFIRMED) machineNames.forEach { onReturned(it) }
         }
     }
 
+    private fun onReturned(machineName: String) {
+        unassignedSince.remove(machineName)
+        fleet.recordDeparture(machineName)
+    }
+
     private companion object {
         /** The cloud's word for a machine that did not come up. */
         const val FAILED_STAGE = "failed"
--- a/src/main/kotlin/io/reedmast/autoscaling/Autoscaler.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/Autoscaler.kt
@@ -31,10 +31,13 @@
 ) {
     private val log = LoggerFactory.getLogger("autoscaler")
     private val unreadable = UnreadableRecordLog()
-    private val intake = MachineIntake(fleet, machineTypes)
-    private val abandonedMachines = AbandonedMachines(settings, clock, gateway, fleet, machineTypes, intake)
-    private val unassignedWorkers = UnassignedWorkers(gateway, fleet, intake, abandonedMachines)
-    private val provisioner = MachineProvisioner(clock, gateway, fleet, machineTypes, intake, incarnation)
+    private val pendingReturns = PendingReturns()
+    private val intake = MachineIntake(clock, fleet, machineTypes, pendingReturns)
+    private val abandonedMachines =
+        AbandonedMachines(settings, clock, gateway, fleet, machineTypes, intake, pendingReturns)
+    private val unassignedWorkers = UnassignedWorkers(gateway, fleet, intake)
+    private val provisioner =
+        MachineProvisioner(clock, gateway, fleet, machineTypes, intake, incarnation, transferWaitMs())
     private val rebalancer = ShardRebalancer(clock, fleet, machineTypes)
     private var wasLeading = false
     private var readingSummaries = false
@@ -107,9 +110,15 @@
         }
         val unavailableZones = summaries.flatMapTo(HashSet()) { it.unavailableZones }
         rebalancer.drainForStarving(summaries, now)
-        provisioner.provision(demanding.filter { !rebalancer.isMovingTo(it.shard) }, unavailableZones, now)
+        val undersupplied = demanding.filter {
+            !rebalancer.isMovingTo(it.shard) && !provisioner.awaitsTransfer(it.shard)
+        }
+        provisioner.provision(undersupplied, unavailableZones, now)
     }
 
+    /** Until the summary of the other shard shows a machine as idle, and the next resizing moves it. */
+    private fun transferWaitMs(): Long = ((tuning.totalsS + tuning.resizeS) * MS_PER_S).toLong() + READ_SUMMARIES_MS
+
     /**
      * Whether the summary shows all machines that are on their way to the shard: else more would come than it needs.
      */
--- a/src/main/kotlin/io/reedmast/autoscaling/FleetView.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/FleetView.kt
@@ -11,9 +11,18 @@
     /** Whether this controller leads. */
     val leading: Boolean
 
+    /**
+     * The term in which this controller leads, once all that earlier leaders stored is known here; null if it does not
+     * lead, or not yet knows.
+     */
+    val leaderTerm: Long?
+
     /** Whether this controller has lately heard enough from the store to decide anything, and may. */
     fun isCurrent(): Boolean
 
+    /** Whether everything that was stored before [time], in milliseconds, is known here. */
+    fun hasObserved(time: Long): Boolean
+
     /** How many shards there are; they are numbered from 0. */
     val shardCount: Int
 
@@ -32,14 +41,14 @@
     /** Whether the machine has left all shards lately: lists and late copies of heartbeats may still show it. */
     fun departedLately(machineName: String): Boolean
 
+    /** A machine of no shard is gone: lists and late messages that still show it count for nothing. */
+    fun recordDeparture(machineName: String)
+
     /** Whether the machine is to leave the shard for another one as soon as it is empty. */
     fun isMarkedForTransfer(shard: ShardId, machineName: String): Boolean
 
-    /**
-     * Adds machines to a shard; [seen] is the highest token that any of their workers has seen. [done] gets the names
-     * of those that were added, none if the change could not be stored.
-     */
-    fun addMachines(shard: ShardId, records: List<MachineRecord>, seen: Long, done: (Set<String>) -> Unit)
+    /** Adds machines to a shard; [seen] is the highest token that any of their workers has seen. */
+    fun addMachines(shard: ShardId, records: List<MachineRecord>, seen: Long, done: (AddMachinesResult) -> Unit)
 
     /** Marks machines that are to leave for another shard as soon as they are empty. */
     fun markForTransfer(shard: ShardId, machineNames: Collection<String>, to: ShardId)
--- a/src/main/kotlin/io/reedmast/autoscaling/MachineProvisioner.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/MachineProvisioner.kt
@@ -18,6 +18,8 @@
     private val intake: MachineIntake,
     /** Part of every request name: never the same twice, over all controllers and restarts. */
     private val requestPrefix: String,
+    /** For how long, in milliseconds, a machine of another shard is waited for instead of renting one more. */
+    private val transferWaitMs: Long,
 ) {
     private val log = LoggerFactory.getLogger("autoscaler")
     private var requestCount = 0L
@@ -26,6 +28,12 @@
     /** How many requests to the cloud are on their way for each shard; a shard without any has no entry. */
     private val requestsInFlight = HashMap<ShardId, Int>()
 
+    /** Until when (ms) shards wait for machines that were rented for them and have come to other shards. */
+    private val transferAwaitedUntil = HashMap<ShardId, Long>()
+
+    /** Whether a machine that was rented for the shard is in another one, and may yet be moved. */
+    fun awaitsTransfer(shard: ShardId): Boolean = (transferAwaitedUntil[shard] ?: 0L) > clock.now()
+
     /** Whether a request for the shard is on its way. */
     fun isProvisioningFor(shard: ShardId): Boolean = shard in requestsInFlight
 
@@ -87,20 +95,29 @@
             if (request.spot) ", spot" else "",
         )
         if (machineNames.size < request.count) recordUnavailable(planned.offering)
-        val shardOfEach = planned.allocations.flatMap { allocation ->
-            List(allocation.machineCount) { allocation.shard }
-        }
-        for ((machineName, shard) in machineNames.zip(shardOfEach)) {
-            log.info("machine {}: rented for shard {}, request {}", machineName, shard.value, request.requestName)
-            intake.add(
-                MachineRecord(machineName, request.typeName, request.zone, request.spot),
-                shard,
-                seenToken = 0L,
-            )
-        }
+        planned.shardsOfMachines().zip(machineNames.distinct()).groupBy({ it.first }, { it.second })
+            .forEach { (shard, names) -> offer(request, shard, names) }
         intake.assign()
     }
 
+    /** What the cloud names beyond what was asked for is left to be found by its heartbeats. */
+    private fun PlannedOffering.shardsOfMachines(): List<ShardId> =
+        allocations.flatMap { allocation -> List(allocation.machineCount) { allocation.shard } }
+
+    /** Offers the machines that [request] has brought to [shard]. */
+    private fun offer(request: ProvisioningRequest, shard: ShardId, machineNames: List<String>) {
+        log.info("machines {}: rented for shard {}, request {}", machineNames, shard.value, request.requestName)
+        val notAccepted = machineNames.associateWith { machineName ->
+            val record = MachineRecord(machineName, request.typeName, request.zone, request.spot)
+            intake.offer(record, shard, IntakeSource.RENTAL, seenToken = 0L)
+        }.filterValues { it != IntakeDecision.Accepted }
+        if (notAccepted.isEmpty()) return
+        log.info("machines {}: do not come to shard {}", notAccepted, shard.value)
+        if (notAccepted.values.any { it is IntakeDecision.MetElsewhere }) {
+            transferAwaitedUntil[shard] = clock.now() + transferWaitMs
+        }
+    }
+
     private fun recordAnswered(shard: ShardId) {
         requestsInFlight.computeIfPresent(shard) { _, count -> if (count > 1) count - 1 else null }
     }
--- a/src/main/kotlin/io/reedmast/autoscaling/UnassignedWorkers.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/UnassignedWorkers.kt
@@ -12,7 +12,6 @@
     private val workers: WorkerTransport,
     private val fleet: FleetView,
     private val intake: MachineIntake,
-    private val abandonedMachines: AbandonedMachines,
 ) {
     private val log = LoggerFactory.getLogger("autoscaler")
 
@@ -26,7 +25,7 @@
      * must not come back into a shard; and a machine whose worker hears nothing is of no use.
      */
     fun onHeartbeat(status: WorkerStatus) {
-        if (!fleet.leading || !fleet.isCurrent() || isLeaving(status.machineName)) return
+        if (!fleet.leading || !fleet.isCurrent() || intake.isLeaving(status.machineName)) return
         // At a first start the shards appear one by one; waiting for all of them spreads the machines evenly.
         if (fleet.hasUnownedShards) return
         if (status.machineName in intake.unassignedNames || calling.size >= MAX_CALLS) return
@@ -51,22 +50,18 @@
     }
 
     private fun accept(status: WorkerStatus) {
-        if (fleet.shardOfMachine(status.machineName) != null || isLeaving(status.machineName)) return
         val shard = intake.shardWithFewestCpus()
+        val record = MachineRecord(status.machineName, status.typeName, status.zone, status.spot)
+        val decision = intake.offer(record, shard, IntakeSource.HEARTBEAT, status.token)
+        if (decision != IntakeDecision.Accepted) return
         log.info(
             "machine {}: sends heartbeats and belongs to no shard, assigned to shard {}",
             status.machineName,
             shard.value,
         )
-        val record = MachineRecord(status.machineName, status.typeName, status.zone, status.spot)
-        intake.add(record, shard, status.token)
         intake.assign()
     }
 
-    /** Whether the machine is being returned, or has left all shards lately. */
-    private fun isLeaving(machineName: String): Boolean =
-        abandonedMachines.isReturning(machineName) || fleet.departedLately(machineName)
-
     private companion object {
         const val MAX_CALLS = 64
         const val HTTP_OK = 200
--- a/src/main/kotlin/io/reedmast/cluster/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/cluster/Cluster.kt
@@ -1,5 +1,6 @@
 package io.reedmast.cluster
 
+import io.reedmast.autoscaling.AddMachinesResult
 import io.reedmast.autoscaling.FleetView
 import io.reedmast.jobs.JobIndex
 import io.reedmast.kvstore.EffectiveLimits
@@ -80,7 +81,7 @@
         shards,
         machines,
         rollout,
-        { membership.leaderVersion },
+        { membership.leaderTerm },
         watchResults::reread,
     )
     private val peerStatuses = PeerStatuses(settings.self, settings.members.size, incarnation)
@@ -96,6 +97,7 @@
     override val shardCount: Int get() = settings.shardCount
     override val hasUnownedShards: Boolean get() = shards.records.any { it == null }
     override val leading: Boolean get() = membership.leading
+    override val leaderTerm: Long? get() = membership.leaderTerm
 
     /** The shards' records as last seen; null for a shard that has never had an owner. */
     val records: Array<StoredShardRecord?> get() = shards.records
@@ -143,8 +145,12 @@
     override fun isMarkedForTransfer(shard: ShardId, machineName: String) =
         machines.isMarkedForTransfer(shard, machineName)
 
+    override fun hasObserved(time: Long): Boolean = staleness.observedThrough?.let { it > time } ?: false
+
     override fun departedLately(machineName: String): Boolean = machineName in departedMachines
 
+    override fun recordDeparture(machineName: String) = departedMachines.add(machineName)
+
     /** A worker has sent a heartbeat to this controller. */
     fun onWorkerContact() = failover.onWorkerContact()
 
@@ -228,8 +234,12 @@
     override fun transferMachines(shard: ShardId, machineNames: Collection<String>) =
         assignment.transferMachines(shard, machineNames)
 
-    override fun addMachines(shard: ShardId, records: List<MachineRecord>, seen: Long, done: (Set<String>) -> Unit) =
-        assignment.addMachines(shard, records, seen, done)
+    override fun addMachines(
+        shard: ShardId,
+        records: List<MachineRecord>,
+        seen: Long,
+        done: (AddMachinesResult) -> Unit,
+    ) = assignment.addMachines(shard, records, seen, done)
 
     override fun markForTransfer(shard: ShardId, machineNames: Collection<String>, to: ShardId) =
         assignment.markForTransfer(shard, machineNames, to)
--- a/src/main/kotlin/io/reedmast/cluster/LeaderElection.kt
+++ b/src/main/kotlin/io/reedmast/cluster/LeaderElection.kt
@@ -40,6 +40,13 @@
     /** Whether this controller leads. */
     val isLeading: Boolean get() = leader == label
 
+    /**
+     * The term in which this controller leads, once the watch has shown all that earlier leaders stored; null if it
+     * does not lead, or not yet knows. The store's answer to its claim may come before the watch has caught up: what
+     * the leader before it stored last is then not known here.
+     */
+    val observedTerm: Long? get() = leaderVersion.takeIf { isLeading && observedRevision >= it }
+
     /**
      * All keys have been read anew, and follow; they are at least as new as [revision].
      *
--- a/src/main/kotlin/io/reedmast/cluster/MachineAssignment.kt
+++ b/src/main/kotlin/io/reedmast/cluster/MachineAssignment.kt
@@ -1,5 +1,6 @@
 package io.reedmast.cluster
 
+import io.reedmast.autoscaling.AddMachinesResult
 import io.reedmast.kvstore.EffectiveLimits
 import io.reedmast.kvstore.Keys
 import io.reedmast.kvstore.Precondition
@@ -22,7 +23,8 @@
     private val shards: ShardTable,
     private val machines: MachineTable,
     private val rollout: ClusterRollout,
-    private val leaderVersion: () -> Long,
+    /** The term in which this controller leads; null if it does not. */
+    private val leaderTerm: () -> Long?,
     /** Reads a key again after a change that was not applied, and goes on once that is done. */
     private val reread: (String, () -> Unit) -> Unit,
 ) {
@@ -46,19 +48,20 @@
 
     /**
      * The leader gives machines to a shard; [highestTokenSeen] is the highest that any of them has seen. [onDone] is
-     * called with the names of those that the shard has got, which may be none.
+     * called once it is known what became of the change.
      */
     fun addMachines(
         shard: ShardId,
         records: List<MachineRecord>,
         highestTokenSeen: Long,
-        onDone: (Set<String>) -> Unit,
+        onDone: (AddMachinesResult) -> Unit,
     ) {
+        val leadership = leadership()
         val owner = shards.records[shard.value]
         val extended = machines.partWithRoomFor(records, shard)
         val added = records.mapTo(HashSet()) { it.name }.apply { retainAll { extended.part.holds(it) } }
-        if (owner == null || added.isEmpty()) {
-            onDone(emptySet())
+        if (leadership == null || owner == null || added.isEmpty()) {
+            onDone(AddMachinesResult.NotSent)
             return
         }
         val renewal = renewalFor(shard, owner, highestTokenSeen)
@@ -67,16 +70,21 @@
             extended.index,
             extended.stored,
             extended.part,
-            leadership(),
+            leadership,
             tokenRenewal = renewal,
         )
         writer.write(change) { outcome ->
-            val isStored = outcome == MachineListOutcome.Stored
-            if (!isStored && renewal != null) reread(Keys.TOKEN) {}
-            onDone(if (isStored) added else emptySet())
+            if (outcome != MachineListOutcome.Stored && renewal != null) reread(Keys.TOKEN) {}
+            onDone(resultOf(outcome, added))
         }
     }
 
+    private fun resultOf(outcome: MachineListOutcome, added: Set<String>): AddMachinesResult = when (outcome) {
+        MachineListOutcome.Stored -> AddMachinesResult.Stored(added)
+        MachineListOutcome.NotSent -> AddMachinesResult.NotSent
+        MachineListOutcome.NotApplied -> AddMachinesResult.Unconfirmed
+    }
+
     private fun renewalFor(shard: ShardId, owner: StoredShardRecord, highestTokenSeen: Long): TokenRenewal? {
         if (highestTokenSeen <= owner.record.token) return null
         val aboveToken = maxOf(shards.token, highestTokenSeen)
@@ -88,13 +96,14 @@
      * as it has room for, up to halving their number until they fit.
      */
     fun markForTransfer(shard: ShardId, machineNames: Collection<String>, to: ShardId) {
+        val leadership = leadership() ?: return
         for ((index, stored) in machines.partsOf(shard)) {
             var marked = stored.part.records.map { it.name }.filter { it in machineNames }
             while (marked.isNotEmpty() && !writer.isStorable(stored.part.marked(marked, to))) {
                 marked = marked.take(marked.size / 2)
             }
             if (marked.isEmpty()) continue
-            writer.write(MachineListChange(shard, index, stored, stored.part.marked(marked, to), leadership()))
+            writer.write(MachineListChange(shard, index, stored, stored.part.marked(marked, to), leadership))
         }
     }
 
@@ -107,6 +116,9 @@
     private fun ownership(shard: ShardId): Precondition? =
         shards.termOf(settings.label, shard)?.let { Precondition(Keys.shard(shard.value), it) }
 
-    /** The condition that this controller still leads. */
-    private fun leadership() = Precondition(Keys.LEADER, leaderVersion())
+    /**
+     * The condition that this controller still leads, in the term that it knows as its own; null if it does not lead.
+     * With the version of another leader's key, what a deposed leader still does would pass for that leader's.
+     */
+    private fun leadership(): Precondition? = leaderTerm()?.let { Precondition(Keys.LEADER, it) }
 }
--- a/src/main/kotlin/io/reedmast/cluster/MachineTable.kt
+++ b/src/main/kotlin/io/reedmast/cluster/MachineTable.kt
@@ -24,17 +24,18 @@
     private val onDeparture: (String) -> Unit,
 ) {
     private val partsByShard = Array(shardCount) { TreeMap<Int, StoredMachineListPart>() }
-    private val shardByMachine = HashMap<String, ShardId>()
-    private val recordedShards = RecordedShards()
 
-    /** The names of the machines that the records of several shards name. */
-    val contested: Set<String> get() = recordedShards.contested
+    /** The shards whose records name each machine. */
+    val recordedShards = RecordedShards()
 
-    /** The shard that the machine belongs to, if any. */
-    fun shardOf(machineName: String): ShardId? = shardByMachine[machineName]
+    /**
+     * The shard that the machine belongs to, if any. Of a contested machine it is the one with the lowest number, so
+     * that all controllers say the same, in whatever order they have seen the records.
+     */
+    fun shardOf(machineName: String): ShardId? = recordedShards.of(machineName).firstOrNull()
 
     /** Whether the machine belongs to a shard. */
-    fun contains(machineName: String): Boolean = machineName in shardByMachine
+    fun contains(machineName: String): Boolean = recordedShards.of(machineName).isNotEmpty()
 
     /** The records of the shard's machines, by their index, in its order. */
     fun partsOf(shard: ShardId): Map<Int, StoredMachineListPart> = partsByShard[shard.value]
@@ -50,15 +51,6 @@
     /** The version of the newest change to the shard's machines. */
     fun versionOf(shard: ShardId): Long = partsByShard[shard.value].values.maxOfOrNull { it.version } ?: 0L
 
-    /** A record of machines, by its shard and version. */
-    class RecordVersion(val shard: ShardId, val index: Int, val version: Long)
-
-    /** The records that name the machine. */
-    fun recordsNaming(machineName: String): List<RecordVersion> = recordedShards.of(machineName).flatMap { shard ->
-        partsOf(shard).filterValues { it.part.holds(machineName) }
-            .map { (index, stored) -> RecordVersion(shard, index, stored.version) }
-    }
-
     /** The machines of a shard, each with the shard that it is to move to, if any. */
     fun transferTargetsOf(shard: ShardId): Map<MachineRecord, Int?> {
         val targets = LinkedHashMap<MachineRecord, Int?>()
@@ -85,19 +77,17 @@
         val names = part.records.mapTo(HashSet()) { it.name }
         previous?.part?.records.orEmpty().filter { it.name !in names }.forEach { onRemoved(shard, it.name) }
         for (record in part.records) {
-            shardByMachine[record.name] = shard
             recordedShards.add(record.name, shard)
             departed.remove(record.name)
         }
         onChange(shard)
-        process.expectMachines(shardByMachine.size)
+        process.expectMachines(recordedShards.machineCount)
     }
 
     private fun onRemoved(shard: ShardId, machineName: String) {
         if (machinesOf(shard).any { it.name == machineName }) return
         recordedShards.remove(machineName, shard)
-        if (shardByMachine[machineName] != shard) return
-        shardByMachine.remove(machineName)
+        if (contains(machineName)) return
         departed.add(machineName)
         onDeparture(machineName)
     }
--- a/src/main/kotlin/io/reedmast/cluster/Membership.kt
+++ b/src/main/kotlin/io/reedmast/cluster/Membership.kt
@@ -38,6 +38,9 @@
     /** The version of the leader's key, a precondition of what the leader writes. */
     val leaderVersion: Long get() = election.leaderVersion
 
+    /** See [LeaderElection.observedTerm]. */
+    val leaderTerm: Long? get() = election.observedTerm
+
     /** Whether this controller leads. */
     val leading: Boolean get() = election.isLeading
 
