Machines that two shards' records name are settled without a return, a stop or a second start

Symptom: a store written by an earlier version may hold a machine in the records of two shards.

Change: the records alone say who answers the worker, the owner of the shard with the lowest number, on every controller. While several shards name a machine nothing is placed there, it is not moved, and its silence, boot and idleness are not judged. Unknown tasks of other shards are left alone, unless every controller knows their jobs to be over. An owner that another one's answers shut out asks the worker by a call that executes nothing, and stores ends as usual. Whoever has nothing there takes the machine out of its own record, on condition of the other record's version. It is returned only when its worker has been silent for longer than its lease, by the owner that answers it: then nothing runs there.

--- a/src/main/kotlin/io/reedmast/autoscaling/ScaleInPolicy.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/ScaleInPolicy.kt
@@ -69,7 +69,7 @@
 
     private fun isEmptyAndStays(machine: Machine): Boolean =
         machine.placements.isEmpty() && machine.decommissionReason == null && !machine.isReturning &&
-            machine.machineType != null
+            machine.machineType != null && !machine.isContested
 
     /**
      * Whether the machine is still booting and was not asked for just now: one that has just come covers the demand
--- a/src/main/kotlin/io/reedmast/cluster/Cluster.kt
+++ b/src/main/kotlin/io/reedmast/cluster/Cluster.kt
@@ -231,6 +231,12 @@
     override fun removeMachines(shard: ShardId, machineNames: Set<String>) =
         assignment.removeMachines(shard, machineNames)
 
+    override fun recordConflictOf(shard: ShardId, machineName: String) =
+        machines.recordedShards.conflictOf(machineName, shard)
+
+    override fun releaseContested(shard: ShardId, machineNames: Collection<String>) =
+        assignment.releaseContested(shard, machineNames)
+
     override fun transferMachines(shard: ShardId, machineNames: Collection<String>) =
         assignment.transferMachines(shard, machineNames)
 
--- a/src/main/kotlin/io/reedmast/cluster/MachineAssignment.kt
+++ b/src/main/kotlin/io/reedmast/cluster/MachineAssignment.kt
@@ -30,6 +30,7 @@
 ) {
     private val writer = MachineListWriter(store, limits, shards, machines, reread)
     private val transfer = MachineTransfer(store, shards, machines, rollout, writer, reread)
+    private val release = ContestedMachineRelease(machines, writer)
     private val oversized = OversizedMachineLists(limits, machines, writer)
 
     /** The shard's owner removes machines that are gone. */
@@ -43,6 +44,11 @@
         }
     }
 
+    /** The shard's owner leaves machines that other shards' records name too to these. */
+    fun releaseContested(shard: ShardId, machineNames: Collection<String>) {
+        ownership(shard)?.let { release.release(shard, machineNames, it) }
+    }
+
     /** The shard's owner moves empty machines to the shards that they are marked for, some at each call. */
     fun transferMachines(shard: ShardId, machineNames: Collection<String>) = transfer.transfer(shard, machineNames)
 
@@ -98,7 +104,8 @@
     fun markForTransfer(shard: ShardId, machineNames: Collection<String>, to: ShardId) {
         val leadership = leadership() ?: return
         for ((index, stored) in machines.partsOf(shard)) {
-            var marked = stored.part.records.map { it.name }.filter { it in machineNames }
+            var marked = stored.part.records.map { it.name }
+                .filter { it in machineNames && it !in machines.recordedShards.contested }
             while (marked.isNotEmpty() && !writer.isStorable(stored.part.marked(marked, to))) {
                 marked = marked.take(marked.size / 2)
             }
--- a/src/main/kotlin/io/reedmast/cluster/MachineTable.kt
+++ b/src/main/kotlin/io/reedmast/cluster/MachineTable.kt
@@ -75,12 +75,15 @@
         if (previous != null && previous.version >= version) return
         partsByShard[shard.value][index] = StoredMachineListPart(part, version)
         val names = part.records.mapTo(HashSet()) { it.name }
-        previous?.part?.records.orEmpty().filter { it.name !in names }.forEach { onRemoved(shard, it.name) }
+        val removed = previous?.part?.records.orEmpty().map { it.name }.filter { it !in names }
+        removed.forEach { onRemoved(shard, it) }
         for (record in part.records) {
             recordedShards.add(record.name, shard)
             departed.remove(record.name)
         }
         onChange(shard)
+        // What another shard's record says of a machine changes with this one.
+        (names + removed).flatMapTo(HashSet()) { recordedShards.of(it) }.filter { it != shard }.forEach { onChange(it) }
         process.expectMachines(recordedShards.machineCount)
     }
 
--- a/src/main/kotlin/io/reedmast/cluster/MachineTransfer.kt
+++ b/src/main/kotlin/io/reedmast/cluster/MachineTransfer.kt
@@ -87,7 +87,8 @@
         val duplicates = namedTwice(source.shard)
         return source.stored.part.records.filter {
             val isMarked = source.stored.part.transfers[it.name] == target.value
-            isMarked && it.name in machineNames && it.name !in duplicates
+            isMarked && it.name in machineNames && it.name !in duplicates &&
+                it.name !in machines.recordedShards.contested
         }
     }
 
--- a/src/main/kotlin/io/reedmast/cluster/RecordedShards.kt
+++ b/src/main/kotlin/io/reedmast/cluster/RecordedShards.kt
@@ -1,5 +1,6 @@
 package io.reedmast.cluster
 
+import io.reedmast.model.RecordConflict
 import io.reedmast.settings.ShardId
 
 /**
@@ -21,6 +22,19 @@
     /** The shards whose records name the machine, in the order of their numbers. */
     fun of(machineName: String): List<ShardId> = shardsByMachine[machineName].orEmpty()
 
+    /**
+     * Whether other shards than [shard] name the machine too. The owner of the one with the lowest number answers its
+     * worker: the stored records alone decide, so that all controllers agree.
+     */
+    fun conflictOf(machineName: String, shard: ShardId): RecordConflict {
+        val shards = of(machineName)
+        return when {
+            shards.size < 2 -> RecordConflict.NONE
+            shards.first() == shard -> RecordConflict.ANSWERED_HERE
+            else -> RecordConflict.ANSWERED_ELSEWHERE
+        }
+    }
+
     /** A record of [shard] names the machine. */
     fun add(machineName: String, shard: ShardId) {
         val shards = of(machineName)
--- /dev/null
+++ b/src/main/kotlin/io/reedmast/commands/ContestedMachineObserver.kt
@@ -0,0 +1,45 @@
+package io.reedmast.commands
+
+import io.reedmast.model.Machine
+import io.reedmast.model.RecordConflict
+import io.reedmast.model.ShardState
+import io.reedmast.ports.WorkerTransport
+import io.reedmast.wire.Reply
+
+/**
+ * Asks the workers of machines that another shard's owner answers what is on them, as long as this shard has work
+ * there.
+ *
+ * The call carries a token and an epoch that no worker has: nothing is executed, and the refusal is the worker's newest
+ * status (PROTOCOL, POST /do).
+ */
+internal class ContestedMachineObserver(
+    private val shardState: ShardState,
+    private val workers: WorkerTransport,
+    private val replies: DirectReplyHandler,
+) {
+    private val askedAt = HashMap<String, Long>()
+    private val intervalMs = (shardState.settings.workers.reportS * MS_PER_S).toLong()
+
+    /** Calls the workers that are due. Called periodically. */
+    fun runOnce(now: Long) {
+        val observed = shardState.machines.values.filter { it.recordConflict == RecordConflict.ANSWERED_ELSEWHERE }
+        askedAt.keys.retainAll(observed.mapTo(HashSet()) { it.name })
+        observed.filter { it.placements.isNotEmpty() && now - (askedAt[it.name] ?: 0L) >= intervalMs }
+            .take(MAX_CALLS)
+            .forEach { ask(it, now) }
+    }
+
+    private fun ask(machine: Machine, now: Long) {
+        val addr = machine.addr ?: return
+        askedAt[machine.name] = now
+        workers.call(addr, 0L, 0L, emptyList()) { reply ->
+            if (reply is Reply.Answer) replies.onReply(machine, reply)
+        }
+    }
+
+    private companion object {
+        const val MS_PER_S = 1000.0
+        const val MAX_CALLS = 16
+    }
+}
--- a/src/main/kotlin/io/reedmast/heartbeats/HeartbeatHandler.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/HeartbeatHandler.kt
@@ -20,12 +20,14 @@
     private val shardState: ShardState,
     dispatcher: CommandDispatcher,
     gangs: GangCoordinator,
+    /** Whether a job of any shard is known to be cancelled or over. */
+    isKnownOver: (jobId: String) -> Boolean,
     /** Asks for a fresh token for the shard: a worker has seen a higher one than this owner's. */
     renewToken: () -> Unit,
 ) {
     private val statusEvaluator = StatusEvaluator(shardState, renewToken)
     private val reportedTasks = ReportedTaskHandler(dispatcher, TaskEndHandler(shardState, gangs))
-    private val unknownTasks = UnknownTaskHandler(shardState)
+    private val unknownTasks = UnknownTaskHandler(shardState, isKnownOver)
     private val missingTasks = MissingTaskHandler(shardState, dispatcher, gangs)
 
     /** Applies a heartbeat and returns the commands for its answer: none for a machine that the shard does not have. */
--- a/src/main/kotlin/io/reedmast/heartbeats/MissingTask.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/MissingTask.kt
@@ -1,6 +1,7 @@
 package io.reedmast.heartbeats
 
 import io.reedmast.model.Placement
+import io.reedmast.model.RecordConflict
 import io.reedmast.wire.WorkerStatus
 
 /** What the absence of a stored placement's task from the newest status means. */
@@ -15,6 +16,12 @@
      */
     LOST_AND_RESTARTABLE,
 
+    /**
+     * It is not on a machine whose worker has seen the higher token of another shard's owner: no launch of ours can
+     * arrive any more.
+     */
+    SUPERSEDED,
+
     /** The status answers a direct call: commands go with the answer to the next heartbeat. */
     NO_ANSWER_POSSIBLE,
 
@@ -35,8 +42,11 @@
     ;
 
     companion object {
-        /** The case of [placement], stored and absent from [status], which is the newest one and current. */
-        fun of(placement: Placement, status: WorkerStatus, source: StatusSource): MissingTask {
+        /**
+         * The case of [placement], stored and absent from [status], which is the newest one and current.
+         * [highestOwnToken] is the highest that the shard's owner may use.
+         */
+        fun of(placement: Placement, status: WorkerStatus, source: StatusSource, highestOwnToken: Long): MissingTask {
             val machine = placement.machine
             val mayLaunchLate = machine.mayLaunch(placement.id, placement.attempt)
             val wasSent = placement.launchEpoch != 0L
@@ -45,6 +55,9 @@
                 wasSent && placement.launchEpoch < status.epoch && !mayLaunchLate ->
                     if (isRestartable(placement)) LOST_AND_RESTARTABLE else LOST
 
+                machine.recordConflict == RecordConflict.ANSWERED_ELSEWHERE && status.token > highestOwnToken ->
+                    SUPERSEDED
+
                 source != StatusSource.HEARTBEAT -> NO_ANSWER_POSSIBLE
 
                 placement.stopReason == null -> LAUNCH_DUE
--- a/src/main/kotlin/io/reedmast/heartbeats/MissingTaskHandler.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/MissingTaskHandler.kt
@@ -2,6 +2,7 @@
 
 import io.reedmast.commands.CommandDispatcher
 import io.reedmast.gangs.GangCoordinator
+import io.reedmast.model.FencingToken
 import io.reedmast.model.Placement
 import io.reedmast.model.ShardState
 import io.reedmast.wire.WorkerCommand
@@ -18,7 +19,7 @@
 
     /** Does what [status] lets happen next with [placement], and returns the commands for the answer. */
     fun onMissing(placement: Placement, status: WorkerStatus, source: StatusSource): List<WorkerCommand> =
-        when (MissingTask.of(placement, status, source)) {
+        when (MissingTask.of(placement, status, source, FencingToken.last(shardState.token))) {
             MissingTask.LOST -> {
                 logLost(placement)
                 shardState.finish(placement, done = false)
@@ -37,7 +38,7 @@
             MissingTask.STOPPED_BEFORE_LATE_LAUNCH ->
                 listOf(launch(placement, status), dispatcher.stopCommand(placement))
 
-            MissingTask.STOPPED -> {
+            MissingTask.SUPERSEDED, MissingTask.STOPPED -> {
                 shardState.finish(placement, done = false)
                 emptyList()
             }
--- a/src/main/kotlin/io/reedmast/heartbeats/StatusEvaluator.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/StatusEvaluator.kt
@@ -2,6 +2,7 @@
 
 import io.reedmast.model.FencingToken
 import io.reedmast.model.Machine
+import io.reedmast.model.RecordConflict
 import io.reedmast.model.ShardState
 import io.reedmast.wire.WorkerStatus
 import org.slf4j.LoggerFactory
@@ -45,11 +46,20 @@
 
     private fun evidenceOf(machine: Machine, status: WorkerStatus) = when {
         !machine.isNewer(status) -> StatusEvidence.OUTDATED
+        isTokenOfAnsweringShard(machine, status) -> StatusEvidence.CURRENT
         status.token > FencingToken.last(shardState.token) -> StatusEvidence.HIGHER_TOKEN_SEEN
         status.token < machine.minimumToken -> StatusEvidence.OWN_TOKEN_NOT_SEEN
         else -> StatusEvidence.CURRENT
     }
 
+    /**
+     * Whether the worker has seen the higher token of another shard's owner, which answers it: earlier owners of this
+     * shard are as void as under our own token, and a higher one of ours would only take the worker from that owner.
+     */
+    private fun isTokenOfAnsweringShard(machine: Machine, status: WorkerStatus) =
+        machine.recordConflict == RecordConflict.ANSWERED_ELSEWHERE &&
+            status.token > FencingToken.last(shardState.token)
+
     private fun recordMachineState(machine: Machine, status: WorkerStatus, now: Long) {
         if (status.epoch > machine.epoch && machine.everReported) onEpochLost(machine, now)
         machine.addr = status.addr
--- a/src/main/kotlin/io/reedmast/heartbeats/UnknownTaskHandler.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/UnknownTaskHandler.kt
@@ -10,7 +10,11 @@
 import io.reedmast.wire.WorkerCommand
 
 /** Tasks on a machine that no stored placement accounts for: they are stopped, and forgotten once they have ended. */
-internal class UnknownTaskHandler(private val shardState: ShardState) {
+internal class UnknownTaskHandler(
+    private val shardState: ShardState,
+    /** Whether a job of any shard is known to be cancelled or over. */
+    private val isKnownOver: (jobId: String) -> Boolean,
+) {
     private val minMsBetweenRaises = shardState.settings.workers.leaseS * MS_PER_S / 2
 
     /** Called before the tasks of a new status are handled: it says anew what unknown tasks use on the machine. */
@@ -23,11 +27,27 @@
     /** Returns the command for the answer; null if there is none for now. */
     fun onUnknown(machine: Machine, reported: TaskStatus): WorkerCommand? {
         val job = shardState.jobs[reported.id.jobId]
-        if (reported.state == TaskState.ENDED) return forget(machine, reported, job)
+        return when {
+            machine.isContested && job == null -> onTaskOfOtherShard(reported)
+            reported.state == TaskState.ENDED -> forget(machine, reported, job)
+            else -> stop(machine, reported, job)
+        }
+    }
+
+    private fun stop(machine: Machine, reported: TaskStatus, job: Job?): WorkerCommand {
         if (job != null) addUnknownUsage(machine, job)
         return WorkerCommand.StopTask(reported.id, reported.attempt, graceS = 0.0)
     }
 
+    /**
+     * Another shard's record names the machine too: its work there is left alone, and its ends are kept until that
+     * shard's owner has stored them. Cancelled work is stopped by whoever answers the worker.
+     */
+    private fun onTaskOfOtherShard(reported: TaskStatus): WorkerCommand? {
+        if (reported.state == TaskState.ENDED || !isKnownOver(reported.id.jobId)) return null
+        return WorkerCommand.StopTask(reported.id, reported.attempt, graceS = 0.0)
+    }
+
     private fun addUnknownUsage(machine: Machine, job: Job) {
         machine.unknownTaskCpus += job.spec.cpus
         machine.unknownTaskGpus += job.spec.gpus
--- a/src/main/kotlin/io/reedmast/machines/MachineLifecycle.kt
+++ b/src/main/kotlin/io/reedmast/machines/MachineLifecycle.kt
@@ -27,6 +27,7 @@
     private val silentDetector = SilentMachineDetector(shardState)
     private val unreachableDetector = UnreachableMachineDetector(shardState)
     private val idleDetector = IdleMachineDetector(shardState, scaleInPolicy)
+    private val contestedHandler = ContestedMachineHandler(shardState, silentDetector.silentAfterMs)
     private val drainer = MachineDrainer(dispatcher)
     private val returner = MachineReturner(shardState, cloud, requests)
 
@@ -56,7 +57,8 @@
         unreachableDetector.decommissionUnreachable()
         val headroom = scaleInPolicy.headroom(now)
         val transferable = ArrayList<String>()
-        for (machine in shardState.machines.values.toList()) {
+        decideContested(now)
+        for (machine in shardState.machines.values.filter { !it.isContested }) {
             if (isBootOverdue(machine, now)) decommissionNotBooted(machine, now)
             if (machine.noticeUntil != 0L) onNotice(machine, now)
             when (machine.decommissionReason) {
@@ -77,6 +79,17 @@
         if (transferable.isNotEmpty()) requests.transferMachines(transferable)
     }
 
+    private fun decideContested(now: Long) {
+        val contested = shardState.machines.values.filter { it.isContested }
+        if (contested.isEmpty()) return
+        val (releasable, needed) = contested.partition { contestedHandler.isReleasable(it, now) }
+        if (releasable.isNotEmpty()) requests.releaseContested(releasable.map { it.name })
+        for (machine in needed.filter { !it.isReturning && contestedHandler.isLost(it, observationGapUntil, now) }) {
+            contestedHandler.logLost(machine, now)
+            returner.returnMachine(machine)
+        }
+    }
+
     private fun isBootOverdue(machine: Machine, now: Long): Boolean {
         val machineType = machine.machineType ?: return false
         if (machine.everReported || machine.decommissionReason != null) return false
--- a/src/main/kotlin/io/reedmast/machines/MachineLifecycleRequests.kt
+++ b/src/main/kotlin/io/reedmast/machines/MachineLifecycleRequests.kt
@@ -8,6 +8,9 @@
     /** Gives empty machines to the shards that they are marked to leave for. */
     fun transferMachines(machineNames: Collection<String>)
 
+    /** Leaves machines that other shards' records name too to these. */
+    fun releaseContested(machineNames: Collection<String>)
+
     /** Asks the other controllers to acquire the shard, since its workers do not reach this one. */
     fun requestFailover()
 }
--- a/src/main/kotlin/io/reedmast/machines/SilentMachineDetector.kt
+++ b/src/main/kotlin/io/reedmast/machines/SilentMachineDetector.kt
@@ -21,7 +21,9 @@
     fun decommissionSilent(observationGapUntil: Long, now: Long) {
         // A machine that was up before we acquired the shard must show itself to us too, and may first have to be shown
         // our token for that.
-        val expected = shardState.machines.values.filter { it.everReported || it.placements.isNotEmpty() }
+        val expected = shardState.machines.values.filter {
+            !it.isContested && (it.everReported || it.placements.isNotEmpty())
+        }
         val silent = expected.filter { now - countedSince(it, observationGapUntil) > silentAfterMs }
         // If most machines are silent at once, it is rather this controller that hears nothing.
         val areMostSilent = silent.size * 2 > expected.size && expected.size > 1
--- a/src/main/kotlin/io/reedmast/machines/UnreachableMachineDetector.kt
+++ b/src/main/kotlin/io/reedmast/machines/UnreachableMachineDetector.kt
@@ -12,7 +12,7 @@
     /** Several at once would rather be this controller's own answers that get lost: then all are counted anew. */
     fun decommissionUnreachable() {
         val unreachable = shardState.machines.values.filter {
-            it.unacknowledged >= Machine.UNREACHABLE_AFTER && it.decommissionReason == null
+            it.unacknowledged >= Machine.UNREACHABLE_AFTER && it.decommissionReason == null && !it.isContested
         }
         if (unreachable.isEmpty()) return
         if (unreachable.size > maxOf(MAX_UNREACHABLE, shardState.machines.size / MIN_MACHINES_PER_UNREACHABLE)) {
--- a/src/main/kotlin/io/reedmast/machines/WorkerLossDetector.kt
+++ b/src/main/kotlin/io/reedmast/machines/WorkerLossDetector.kt
@@ -25,7 +25,9 @@
         val lateMs = shardState.heartbeatLateMs
         val settledMs = lateMs * SETTLED_HEARTBEATS
         if (now - maxOf(shardState.activeAt, observationGapUntil) < settledMs) return false
-        val expected = shardState.machines.values.filter { it.isStateKnown && it.decommissionReason == null }
+        val expected = shardState.machines.values.filter {
+            it.isStateKnown && it.decommissionReason == null && !it.isContested
+        }
         val lateCount = expected.count { now - it.lastHeartbeatAt > lateMs }
         val newlyLateCount = expected.count { now - it.lastHeartbeatAt in lateMs..settledMs }
         return expected.size >= MIN_MACHINES_TO_JUDGE &&
--- a/src/main/kotlin/io/reedmast/model/Machine.kt
+++ b/src/main/kotlin/io/reedmast/model/Machine.kt
@@ -14,12 +14,12 @@
  *
  * @property record the machine as the records name it.
  * @property machineType what the cloud says of machines of its type; null if it does not offer the type.
- * @property firstSeenAt when the owner learned of the machine.
+ * @property firstSeenAt when the owner learned of the machine, or was left with it by the owner of another shard.
  */
 class Machine(
     val record: MachineRecord,
     var machineType: MachineType?,
-    val firstSeenAt: Long,
+    firstSeenAt: Long,
     /**
      * The lowest token that proves, once the worker has seen it, that no earlier owner's command can arrive any more.
      */
@@ -28,6 +28,9 @@
 ) {
     val name: String get() = record.name
 
+    var firstSeenAt = firstSeenAt
+        private set
+
     /** Where its worker listens; null as long as it is not known. */
     var addr: String? by facts::addr
 
@@ -88,6 +91,31 @@
     /** Jobs that failed here since the last success. */
     val failedJobs = HashSet<String>()
 
+    /** Whether the records of other shards name the machine too. */
+    var recordConflict = RecordConflict.NONE
+        private set
+
+    /** Since when [recordConflict] is what it is. */
+    var conflictSince = 0L
+        private set
+
+    /** Whether the records of several shards name the machine: nothing is placed there, and it is not returned. */
+    val isContested: Boolean get() = recordConflict != RecordConflict.NONE
+
+    /**
+     * Records whether other shards' records name the machine too. What this owner has not heard of the worker says
+     * nothing from before it was the one to answer it.
+     */
+    fun updateRecordConflict(conflict: RecordConflict, now: Long) {
+        if (conflict == recordConflict) return
+        if (decommissionReason != DecommissionReason.TRANSFER && !isReturning) decommissionReason = null
+        recordConflict = conflict
+        conflictSince = now
+        firstSeenAt = now
+        lastHeartbeatAt = now
+        unacknowledged = 0
+    }
+
     // ---- direct commands --------------------------------------------------------------------------------------------
 
     private data class Attempt(val task: TaskId, val number: Long)
@@ -162,7 +190,7 @@
 
     /** Whether work may be placed here. A machine that may not hear us gets no more of it. */
     val usable: Boolean get() = isStateKnown && decommissionReason == null && !isReturning && machineType != null &&
-        unacknowledged < MAX_UNACKNOWLEDGED
+        unacknowledged < MAX_UNACKNOWLEDGED && !isContested
 
     /**
      * Parts of jobs that have left the machine since they were last stored: a stored page may still name it for them.
--- a/src/main/kotlin/io/reedmast/shard/ShardMachines.kt
+++ b/src/main/kotlin/io/reedmast/shard/ShardMachines.kt
@@ -40,6 +40,7 @@
     /** Adds the machine of [record] if it is new, and marks it to leave if it has a [destination] shard. */
     private fun sync(record: MachineRecord, destination: Int?) {
         val machine = shardState.machines[record.name]?.takeIf { isFullyKnown(it) } ?: add(record)
+        machine.updateRecordConflict(records.recordConflictOf(shardState.index, record.name), clock.now())
         if (destination != null && machine.decommissionReason == null) {
             machine.decommissionReason = DecommissionReason.TRANSFER
             machine.movingSince = clock.now()
--- a/src/main/kotlin/io/reedmast/shard/ShardOwner.kt
+++ b/src/main/kotlin/io/reedmast/shard/ShardOwner.kt
@@ -58,7 +58,7 @@
         }
     private val gangs = GangCoordinator(shardState, dispatcher)
     private val heartbeats: HeartbeatHandler =
-        HeartbeatHandler(shardState, dispatcher, gangs) { records.renewToken(index) }
+        HeartbeatHandler(shardState, dispatcher, gangs, ::isKnownOver) { records.renewToken(index) }
     private val arrivals = ArrivalRates(shardState)
     private val demandEstimator = DemandEstimator(shardState, arrivals)
     private val scaleInPolicy = ScaleInPolicy(shardState, arrivals)
@@ -177,12 +177,19 @@
         jobIndexComparison.runIfDue(now)
         usageCharging.runIfDue(now)
         dispatcher.announceToken(now)
+        dispatcher.observeContested(now)
         lifecycle.runOnce(now)
         requestPassForPendingTasks()
         writeUsageSummary(now)
         statusPublisher.publishIfDue(now)
     }
 
+    /** Whether the job is known to be cancelled or over, whichever shard it belongs to. */
+    private fun isKnownOver(jobId: String): Boolean {
+        val live = records.jobs.live(jobId)
+        return if (live == null) records.jobs.ended[jobId] != null else live.record.isCancelled
+    }
+
     private fun migrateRecords() {
         if (!shardState.isCurrent()) return
         migration.runOnce(records.rollout.gates, shardState.termPrecondition, records.rollout.view)
@@ -206,6 +213,8 @@
 
         override fun transferMachines(machineNames: Collection<String>) = records.transferMachines(index, machineNames)
 
+        override fun releaseContested(machineNames: Collection<String>) = records.releaseContested(index, machineNames)
+
         override fun requestFailover() = records.requestFailover(index)
     }
 }
--- a/src/main/kotlin/io/reedmast/shard/ShardRecords.kt
+++ b/src/main/kotlin/io/reedmast/shard/ShardRecords.kt
@@ -3,6 +3,7 @@
 import io.reedmast.jobs.JobIndex
 import io.reedmast.model.MachineDirectory
 import io.reedmast.model.MachineRecord
+import io.reedmast.model.RecordConflict
 import io.reedmast.settings.ShardId
 
 /**
@@ -23,6 +24,12 @@
     /** The machines that the records name for the shard, and the shards that they are to move to (null: they stay). */
     fun transferTargetsOf(shard: ShardId): Map<MachineRecord, Int?>
 
+    /** Whether the records of other shards name the shard's machine too, and who answers its worker then. */
+    fun recordConflictOf(shard: ShardId, machineName: String): RecordConflict
+
+    /** Takes machines that other shards' records name too out of the shard's records. */
+    fun releaseContested(shard: ShardId, machineNames: Collection<String>)
+
     /** The version of the newest change to these records. */
     fun machinesVersion(shard: ShardId): Long
 
--- a/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
+++ b/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
@@ -34,6 +34,10 @@
     @TestFactory
     fun `days of slow rentals`(): List<DynamicTest> = play("rental day") { RandomDay(it, rentals = true) }
 
+    /** An earlier version has put machines into the records of two shards, with work on them or without. */
+    @TestFactory
+    fun `days of contested machines`(): List<DynamicTest> = play("contested day") { RandomDay(it, contested = true) }
+
     private fun play(name: String, day: (Long) -> RandomDay): List<DynamicTest> = seeds().map { seed ->
         DynamicTest.dynamicTest("$name $seed") {
             val lines = day(seed).lines()
--- a/src/test/kotlin/io/reedmast/sim/RandomDay.kt
+++ b/src/test/kotlin/io/reedmast/sim/RandomDay.kt
@@ -8,6 +8,7 @@
  * @property gangs whether gangs come beside the other jobs
  * @property upgrade whether controllers are upgraded one after the other
  * @property rollout whether features are rolled out and taken back
+ * @property contested whether machines come to stand in the records of two shards, as earlier versions left them
  * @property rentals whether machines boot at once while answers to rentals are late or lost
  */
 class RandomDay(
@@ -16,6 +17,7 @@
     private val upgrade: Boolean = false,
     private val rollout: Boolean = false,
     private val rentals: Boolean = false,
+    private val contested: Boolean = false,
 ) {
     private val random = Random(seed)
     private val events = ArrayList<Pair<Double, String>>()
@@ -36,6 +38,7 @@
         if (gangs) addGangs(Random(-seed), allNewAt)
         if (rollout) addRollout(Random(seed xor ROLLOUT_SEED))
         if (rentals) addSlowRentals(Random(seed xor RENTAL_SEED))
+        if (contested) addContestedMachines(Random(seed xor CONTESTED_SEED))
         at(LAST, "calm")
         at(LAST + 60, "expect answered")
         at(LAST + 220, "expect settled")
@@ -72,6 +75,11 @@
         }
     }
 
+    private fun addContestedMachines(chance: Random) = repeat(chance.nextInt(2, 8)) {
+        val machine = "host-%06d".format(chance.nextInt(MACHINES + 4))
+        at(Math.round(chance.nextDouble(4.0, LAST) * 10) / 10.0, "plant-record $machine ${chance.nextInt(MEMBERS)}")
+    }
+
     private fun jobs() {
         for (i in 1..JOBS) {
             val service = random.nextInt(3) == 0
@@ -285,6 +293,7 @@
         const val ARRAYS = 5
         const val UPGRADE_SEED = 0x5eedL
         const val ROLLOUT_SEED = 0x6a7eL
+        const val CONTESTED_SEED = 0x3c0dL
         const val RENTAL_SEED = 0x2e47L
 
         /** Gangs start whole or not at all: enough machines that the largest ones fit beside all services. */
--- a/src/test/kotlin/io/reedmast/sim/SimStore.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimStore.kt
@@ -216,8 +216,9 @@
 
     private fun replace(path: String, value: Fields) {
         revision++
-        entries[path] = Entry(value, revision, null)
-        log.add(WatchEvent(path, value, revision))
+        val stored = BodyCodec.readCbor(BodyCodec.writeCbor(value))
+        entries[path] = Entry(stored, revision, null)
+        log.add(WatchEvent(path, stored, revision))
     }
 
     /** A machine that comes to a shard must not be named by a page of another one, whose next owner would return it. */
