--- a/src/test/kotlin/io/reedmast/autoscaling/MachineIntakeTest.kt
+++ b/src/test/kotlin/io/reedmast/autoscaling/MachineIntakeTest.kt
@@ -1,7 +1,7 @@
 package io.reedmast.autoscaling
 
 import io.reedmast.model.MachineRecord
-import io.reedmast.ports.Clock
+import io.reedmast.scheduling.SettableClock
 import io.reedmast.settings.ShardId
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
@@ -9,12 +9,7 @@
 
 /** One machine has one destination, whoever names it, and in whatever order answers come. */
 class MachineIntakeTest {
-    private var now = 100_000L
-    private val clock = object : Clock {
-        override fun now() = this@MachineIntakeTest.now
-
-        override fun wall() = now()
-    }
+    private val clock = SettableClock(100_000L)
     private val fleet = FakeFleet(emptyMap())
     private val pendingReturns = PendingReturns()
     private val intake = MachineIntake(clock, fleet, { emptyMap() }, pendingReturns)
@@ -58,14 +53,14 @@
     fun `the destination stays until the watch has caught up with a write that failed`() {
         offer(heard, 0, IntakeSource.HEARTBEAT)
         intake.assign()
-        fleet.observedThrough = now - 1
+        fleet.observedThrough = clock.now() - 1
         answer(AddMachinesResult.Unconfirmed)
 
         assertEquals(IntakeDecision.MetElsewhere(ShardId(0)), offer(rented, 1, IntakeSource.RENTAL))
         intake.assign()
         assertEquals(1, fleet.additions.size)
 
-        fleet.observedThrough = now + 1
+        fleet.observedThrough = clock.now() + 1
         intake.assign()
         assertEquals(listOf(heard.name to 0, heard.name to 0), fleet.additions)
     }
--- a/src/test/kotlin/io/reedmast/autoscaling/ShardRebalancerTest.kt
+++ b/src/test/kotlin/io/reedmast/autoscaling/ShardRebalancerTest.kt
@@ -1,7 +1,7 @@
 package io.reedmast.autoscaling
 
 import io.reedmast.model.MachineRecord
-import io.reedmast.ports.Clock
+import io.reedmast.scheduling.SettableClock
 import io.reedmast.settings.ShardId
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
@@ -13,12 +13,7 @@
  * the two waited 25 s for a machine that never came.
  */
 class ShardRebalancerTest {
-    private var now = 100_000L
-    private val clock = object : Clock {
-        override fun now() = this@ShardRebalancerTest.now
-
-        override fun wall() = now()
-    }
+    private val clock = SettableClock(100_000L)
     private val machine = MachineRecord("host-000001", "m", "x", spot = false)
     private val fleet = FakeFleet(mapOf(0 to listOf(machine)))
     private val rebalancer =
@@ -50,7 +45,7 @@
         val donor = summary(0, idle = listOf(machine.name))
         val recipients = listOf(summary(1, starving = starving), summary(2, starving = starving))
 
-        rebalancer.drainForStarving(recipients + donor, now)
+        rebalancer.drainForStarving(recipients + donor, clock.now())
 
         assertEquals(listOf(machine.name to 1), fleet.marks)
     }
@@ -60,8 +55,8 @@
         val donor = summary(0, idle = listOf(machine.name))
         rebalancer.resize(listOf(summary(1, listOf(demand(2)))), listOf(donor))
 
-        now += 10_000
-        rebalancer.runOnce(now)
+        clock.nowMs += 10_000
+        rebalancer.runOnce(clock.now())
         rebalancer.resize(listOf(summary(2, listOf(demand(2)))), listOf(donor))
 
         assertEquals(listOf(machine.name to 1, machine.name to 2), fleet.marks)
--- a/src/test/kotlin/io/reedmast/rollout/RolloutAdministrationTest.kt
+++ b/src/test/kotlin/io/reedmast/rollout/RolloutAdministrationTest.kt
@@ -93,6 +93,50 @@
         assertEquals(listOf("base wished dormant"), record().history.map { it.what })
     }
 
+    /**
+     * An operator's act failed at times with "c/rollout changed meanwhile; look again", though nobody else had acted:
+     * the leader had moved a gate between the act's reading and its write. LoopbackRolloutTest failed by it in one of
+     * eight plays at a load of six to ten ("[enable, dense-pages, ...]: reedmast: c/rollout changed meanwhile"). What
+     * operators decided is the same when read again, so the act goes through; the test above holds that it is refused
+     * where another operator has decided something.
+     */
+    @Test
+    fun `an act that meets a move of the leader's goes through`() {
+        present("n0")
+        present("n1")
+        assertEquals(ActResult.Done, result { administration.wish(base.name, Target.ENABLED, act, it) })
+        val made = Provenance.of("leader n0", 0L, "all controllers read it")
+        val held = ArrayList<() -> Unit>().also { store.hold = it }
+        var result: ActResult? = null
+        administration.wish(feature.name, Target.ENABLED, act) { result = it }
+        store.hold = null
+        store.put(Keys.ROLLOUT, record().moved(base, GateState.READY, made).toFields())
+        held.forEach { it() }
+        assertEquals(ActResult.Done, result)
+        assertEquals(setOf(base.name, feature.name), record().wishes.keys)
+        assertEquals(GateState.READY, record().gates.getValue(base.name).state)
+    }
+
+    /** A leader that moves gates all the time does not keep the operator waiting for ever. */
+    @Test
+    fun `an act that meets moves again and again is refused in the end`() {
+        present("n0")
+        present("n1")
+        assertEquals(ActResult.Done, result { administration.wish(base.name, Target.ENABLED, act, it) })
+        val made = Provenance.of("leader n0", 0L, "a move")
+        var moves = 0
+        val held = ArrayList<() -> Unit>().also { store.hold = it }
+        var result: ActResult? = null
+        administration.drain("n1", act) { result = it }
+        while (held.isNotEmpty()) {
+            store.put(Keys.ROLLOUT, record().moved(base, GateState.READY, made).toFields())
+            moves++
+            held.removeFirst()()
+        }
+        assertTrue((result as? ActResult.Refused)?.reason?.contains("changed meanwhile") ?: false, "$result")
+        assertTrue(moves in 2..10, "$moves")
+    }
+
     @Test
     fun `wishes that cannot come true are refused`() {
         refused("there is no feature") { administration.wish(FeatureName("other"), Target.ENABLED, act, it) }
