Operators' acts that meet a move of the leader's are planned anew, a few times at most

Cause: the leader moves gates by writing the same record. An act's write has the record's version as a precondition, and fails when the leader has moved a gate since the act read it (RolloutAdministrationTest plays just that).

Change: where only c/rollout has changed, the act reads again. If what operators decided (wishes, exclusions) is as it was, the act is checked and written anew, five times at most; if another operator has decided something, it is refused with "changed meanwhile" as before. All other preconditions that fail are refused at once, as before.

--- a/src/main/kotlin/io/reedmast/rollout/RolloutAdministration.kt
+++ b/src/main/kotlin/io/reedmast/rollout/RolloutAdministration.kt
@@ -15,7 +15,8 @@
  * The acts of operators: wishes, exclusions, drains, and questions about them.
  *
  * Each act reads the cluster's keys, checks that it can be done, and stores it on condition that what it was checked
- * against still holds. Of two operators who act at once the second is told so, and sees what the first has done.
+ * against still holds. Of two operators who act at once the second is told so, and sees what the first has done. An act
+ * that only met a move of the leader's is planned anew on what then stands, a few times at most.
  */
 class RolloutAdministration(
     private val registry: FeatureRegistry,
@@ -137,61 +138,88 @@
         return RolloutStatus(view, snapshot, GateDecision(registry).plan(view.gates.record, snapshot).waiting)
     }
 
-    private fun change(done: (ActResult) -> Unit, plan: (RolloutStatus) -> Planned) = status { result ->
+    /** Plans an act on what is stored now, and stores it. */
+    private fun change(done: (ActResult) -> Unit, plan: (RolloutStatus) -> Planned) =
+        attempt(PendingAct(done, plan), MAX_ATTEMPTS)
+
+    /** An act whose result is not known yet. */
+    private class PendingAct(val done: (ActResult) -> Unit, val plan: (RolloutStatus) -> Planned) {
+        /** What operators had decided when the act was first planned. */
+        var decisionsSeen: OperatorDecisions? = null
+    }
+
+    /** What operators have decided of the rollout, as opposed to the moves of the leader. */
+    private data class OperatorDecisions(val wishes: Map<FeatureName, Wish>, val excluded: Map<String, Provenance>)
+
+    private fun attempt(act: PendingAct, attemptsLeft: Int) = status { result ->
         when (result) {
-            is StatusResult.Known -> change(result.status, done, plan)
-            is StatusResult.Unknown -> done(ActResult.Refused(result.reason))
+            is StatusResult.Known -> attempt(act, result.status, attemptsLeft)
+            is StatusResult.Unknown -> act.done(ActResult.Refused(result.reason))
         }
     }
 
-    private fun change(status: RolloutStatus, done: (ActResult) -> Unit, plan: (RolloutStatus) -> Planned) {
-        val gates = status.view.gates
+    private fun attempt(act: PendingAct, status: RolloutStatus, attemptsLeft: Int) {
+        val record = status.view.gates.record
+        val decisions = OperatorDecisions(record.wishes, record.excluded)
+        val seen = act.decisionsSeen ?: decisions.also { act.decisionsSeen = it }
         when (val admission = status.view.admission) {
-            is Admission.Withheld -> done(ActResult.Refused(admission.reason))
-            is Admission.Unfit -> done(ActResult.Refused(admission.reason))
-            Admission.Admitted, Admission.Excluded -> when (val planned = plan(status)) {
-                is Planned.Refused -> done(ActResult.Refused(planned.reason))
-                is Planned.Put -> commit(
-                    gates.precondition,
-                    planned.preconditions,
-                    Write.Put(Keys.ROLLOUT, planned.record.toFields()),
-                    done,
-                )
-                is Planned.Drain -> put(planned, gates, done)
-                is Planned.EndDrain -> Keys.drain(planned.label).let {
-                    commit(Precondition(it, planned.version), emptyList(), Write.Delete(it), done)
+            is Admission.Withheld -> act.done(ActResult.Refused(admission.reason))
+            is Admission.Unfit -> act.done(ActResult.Refused(admission.reason))
+            Admission.Admitted, Admission.Excluded ->
+                if (decisions == seen) {
+                    store(act, status, attemptsLeft)
+                } else {
+                    act.done(ActResult.Refused(changedMeanwhile(setOf(Keys.ROLLOUT))))
                 }
-            }
         }
     }
 
-    private fun put(planned: Planned.Drain, gates: GateSnapshot, done: (ActResult) -> Unit) {
-        val path = Keys.drain(planned.label)
-        val fields: Fields = planned.order.toFields()
-        commit(Precondition(path, planned.version), listOf(gates.precondition), Write.Put(path, fields), done)
-    }
-
-    private fun commit(
-        precondition: Precondition,
-        others: List<Precondition>,
-        write: Write,
-        done: (ActResult) -> Unit,
-    ) = store.commit(
-        CasTransaction(listOf(precondition) + others, listOf(write), WritePriority.USER) { outcome ->
-            done(
-                when (outcome) {
-                    is CommitOutcome.Applied -> ActResult.Done
-                    is CommitOutcome.Conflict -> {
-                        val changed = outcome.failed.joinToString()
-                        ActResult.Refused("$changed changed meanwhile; look again")
-                    }
-                    is CommitOutcome.Refused -> ActResult.Refused(outcome.reason)
-                },
+    private fun store(act: PendingAct, status: RolloutStatus, attemptsLeft: Int) {
+        val transaction = when (val planned = act.plan(status)) {
+            is Planned.Refused -> return act.done(ActResult.Refused(planned.reason))
+            is Planned.Put -> PlannedWrite(
+                planned.preconditions + status.view.gates.precondition,
+                Write.Put(Keys.ROLLOUT, planned.record.toFields()),
             )
-        },
+            is Planned.Drain -> Keys.drain(planned.label).let { path ->
+                val preconditions = listOf(Precondition(path, planned.version), status.view.gates.precondition)
+                PlannedWrite(preconditions, Write.Put(path, planned.order.toFields()))
+            }
+            is Planned.EndDrain -> Keys.drain(planned.label).let { path ->
+                PlannedWrite(listOf(Precondition(path, planned.version)), Write.Delete(path))
+            }
+        }
+        commit(transaction) { outcome ->
+            when (outcome) {
+                is CommitOutcome.Applied -> act.done(ActResult.Done)
+                is CommitOutcome.Conflict -> onConflict(act, outcome.failed, attemptsLeft)
+                is CommitOutcome.Refused -> act.done(ActResult.Refused(outcome.reason))
+            }
+        }
+    }
+
+    /** The leader moves gates by the same record: only that it has changed says nothing against the act. */
+    private fun onConflict(act: PendingAct, failedPaths: Set<String>, attemptsLeft: Int) {
+        if (failedPaths == setOf(Keys.ROLLOUT) && attemptsLeft > 1) {
+            attempt(act, attemptsLeft - 1)
+        } else {
+            act.done(ActResult.Refused(changedMeanwhile(failedPaths)))
+        }
+    }
+
+    private fun changedMeanwhile(paths: Set<String>) = "${paths.joinToString()} changed meanwhile; look again"
+
+    /** What an act stores, and what must still hold. */
+    private class PlannedWrite(val preconditions: List<Precondition>, val write: Write)
+
+    private fun commit(planned: PlannedWrite, done: (CommitOutcome) -> Unit) = store.commit(
+        CasTransaction(planned.preconditions, listOf(planned.write), WritePriority.USER, done),
     )
 
     private companion object {
+        /** How often an act is planned that meets moves of the leader's. */
+        const val MAX_ATTEMPTS = 5
+
         /** No controller has this label. */
         const val OPERATOR = ""
     }
