--- a/src/main/kotlin/io/reedmast/autoscaling/ShardRebalancer.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/ShardRebalancer.kt
@@ -23,6 +23,9 @@
     /** Shards that a machine is being drained for, and until when (ms) that is waited for. */
     private val drainingUntil = HashMap<ShardId, Long>()
 
+    /** Machines that a mark is on its way for, and until when (ms) they are not promised again, stored or not. */
+    private val promisedUntil = HashMap<String, Long>()
+
     /** Whether machines are moving to [shard], whose capacity it does not know yet. */
     fun isMovingTo(shard: ShardId): Boolean = shard in movingUntil
 
@@ -30,6 +33,7 @@
     fun runOnce(now: Long) {
         movingUntil.values.removeIf { it < now }
         drainingUntil.values.removeIf { it < now }
+        promisedUntil.values.removeIf { it < now }
     }
 
     /**
@@ -47,7 +51,7 @@
     private fun moveIdleMachines(donor: ShardUsageSummary, recipient: ShardId, unmetDemand: UnmetDemand) {
         val idle = donor.idle.toHashSet()
         val machineNames = fleet.machinesOf(donor.shard)
-            .filter { it.name in idle && !fleet.isMarkedForTransfer(donor.shard, it.name) }
+            .filter { it.name in idle && isAvailable(donor.shard, it.name) }
             .filter { record -> machineTypes()[record.typeName]?.let { unmetDemand.cover(record, it) } ?: false }
             .map { it.name }
             .toList()
@@ -58,7 +62,7 @@
             machineNames.size,
             recipient.value,
         )
-        fleet.markForTransfer(donor.shard, machineNames, recipient)
+        promise(donor.shard, machineNames, recipient)
         // The recipient does not know their capacity before they have moved.
         movingUntil[recipient] = clock.now() + MOVE_MS
     }
@@ -86,7 +90,7 @@
             drain.machineNames,
             recipient.value,
         )
-        fleet.markForTransfer(drain.donor, drain.machineNames, recipient)
+        promise(drain.donor, drain.machineNames, recipient)
         drainingUntil[recipient] = now + DRAIN_MS
     }
 
@@ -118,8 +122,17 @@
     private fun tasksHeldBy(machineName: String, shard: ShardId, demand: Demand): Int {
         val record = fleet.machinesOf(shard).firstOrNull { it.name == machineName } ?: return 0
         val machineType = machineTypes()[record.typeName] ?: return 0
-        val isAvailable = !fleet.isMarkedForTransfer(shard, machineName)
-        return if (isAvailable && record.mayRun(demand)) demand.tasksPerMachine(machineType) else 0
+        val isOffered = isAvailable(shard, machineName) && record.mayRun(demand)
+        return if (isOffered) demand.tasksPerMachine(machineType) else 0
+    }
+
+    /** A mark shows only once it is stored: until then the machine must not be promised to another shard. */
+    private fun isAvailable(shard: ShardId, machineName: String): Boolean =
+        !fleet.isMarkedForTransfer(shard, machineName) && machineName !in promisedUntil
+
+    private fun promise(donor: ShardId, machineNames: List<String>, recipient: ShardId) {
+        machineNames.forEach { promisedUntil[it] = clock.now() + MOVE_MS }
+        fleet.markForTransfer(donor, machineNames, recipient)
     }
 
     private companion object {
