--- a/src/main/kotlin/io/reedmast/autoscaling/DrainCandidates.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/DrainCandidates.kt
@@ -3,7 +3,6 @@
 import io.reedmast.model.Machine
 import io.reedmast.model.Placement
 import io.reedmast.model.ShardState
-import io.reedmast.wire.JobSpec
 
 /** Which machines of a shard could be drained for a starving job of another shard. */
 internal class DrainCandidates(private val shardState: ShardState) {
@@ -16,8 +15,9 @@
      */
     fun select(now: Long): List<String> {
         val drainable = shardState.machines.values.filter { isDrainable(it, now) }
+        val freeCpus = drainable.sumOf { it.freeCpus }
         return drainable
-            .filter { workFitsOnOthers(it, drainable) }
+            .filter { workFitsOnOthers(it, freeCpus) }
             .sortedBy { machine -> machine.placements.values.sumOf { drainCost(it, now) } }
             .groupBy { InstanceOffering(it.record.typeName, it.record.zone, it.record.spot) }.values
             .flatMap { it.take(MAX_OF_A_KIND) }
@@ -29,26 +29,14 @@
         machine.placements.values.none { now - it.madeAt < JUST_PLACED_MS || it.job.spec.isGang }
 
     /**
-     * Whether the machine's work fits on the other machines of [drainable]. With less room there, the work of this one
-     * would starve next, and the machine come back. Work that must be in a zone, or not on spot machines, needs the
-     * room there.
+     * Whether the machine's work fits into what is left of [freeCpus] without it. With less on the others, the work of
+     * this one would starve next, and the machine come back.
      */
-    private fun workFitsOnOthers(machine: Machine, drainable: List<Machine>): Boolean {
-        val others = drainable.filter { it !== machine }
-        val work = machine.placements.values
-        val zoneBound = work.filter { it.job.spec.isZoneBound }
-        val ordinaryOnly = work.filter { !it.job.spec.spot }
-        return fits(work, others) &&
-            fits(zoneBound, others.filter { it.record.zone == machine.record.zone }) &&
-            fits(ordinaryOnly, others.filter { !it.record.spot })
+    private fun workFitsOnOthers(machine: Machine, freeCpus: Double): Boolean {
+        val placedCpus = machine.placements.values.sumOf { it.job.spec.cpus }
+        return placedCpus <= freeCpus - machine.freeCpus + Machine.EPSILON
     }
 
-    private fun fits(work: Collection<Placement>, machines: List<Machine>): Boolean =
-        work.sumOf { it.job.spec.cpus } <= machines.sumOf { it.freeCpus } + Machine.EPSILON
-
-    /** Whether the job's tasks cannot be placed in any zone: one that is stopped needs room in its own. */
-    private val JobSpec.isZoneBound: Boolean get() = zone != null || oneZone || spread
-
     /** What stopping the task costs, in CPU seconds of its work. */
     private fun drainCost(placement: Placement, now: Long): Double {
         val spec = placement.job.spec
