Readiness: who asks about a controller that is not being drained is told to drain it

Cause: the advice stood only with a shard that the controller owned, and which controller owns a shard at a start, or after a short lease, depends on who was faster. A controller without shards may acquire one at any moment, so the advice holds for it too. While it is being drained the reason is as before.

--- a/src/main/kotlin/io/reedmast/rollout/Readiness.kt
+++ b/src/main/kotlin/io/reedmast/rollout/Readiness.kt
@@ -28,9 +28,16 @@
                 }
             }
             if (label in snapshot.present && snapshot.present[label]?.versions?.drained != true) {
-                reasons.add("$label has not said that it is drained")
+                reasons.add(undrained(label, status))
             }
             return if (reasons.isEmpty()) Readiness.Ready else Readiness.NotReady(reasons)
         }
+
+        /** It may acquire shards at any moment until it has been told not to, even if it owns none now. */
+        private fun undrained(label: String, status: RolloutStatus): String = if (status.isDraining(label)) {
+            "$label has not said that it is drained"
+        } else {
+            "$label is not being drained; drain it first"
+        }
     }
 }
