--- a/src/test/kotlin/io/reedmast/autoscaling/FakeFleet.kt
+++ b/src/test/kotlin/io/reedmast/autoscaling/FakeFleet.kt
@@ -11,6 +11,9 @@
     /** Machines added to shards, as machine to shard, in the order in which they were sent. */
     val additions = ArrayList<Pair<String, Int>>()
 
+    /** The records of machines added to shards, in the order in which they were sent. */
+    val addedRecords = ArrayList<MachineRecord>()
+
     /** Answers to additions that have not been given yet. */
     val pendingAnswers = ArrayList<(AddMachinesResult) -> Unit>()
     val departed = HashSet<String>()
@@ -47,6 +50,7 @@
         done: (AddMachinesResult) -> Unit,
     ) {
         records.forEach { additions.add(it.name to shard.value) }
+        addedRecords.addAll(records)
         pendingAnswers.add(done)
     }
 
--- a/src/test/kotlin/io/reedmast/autoscaling/MachineIntakeTest.kt
+++ b/src/test/kotlin/io/reedmast/autoscaling/MachineIntakeTest.kt
@@ -29,6 +29,7 @@
         intake.assign()
 
         assertEquals(listOf(heard.name to 1), fleet.additions)
+        assertEquals(listOf(rented), fleet.addedRecords)
     }
 
     @Test
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -358,6 +358,9 @@
 
             "kept" -> assertTrue(words[1] in world.workers, "$at: returned are ${world.returned}")
 
+            // Nobody has overwritten the record that cannot be read.
+            "spoilt" -> assertEquals(mapOf<String, Any?>("form" to 0L), world.store.get(words[1])?.value, at)
+
             // So many shards' records name the machine.
             "recorded-in" -> assertEquals(words[2].toInt(), world.store.shardsOf(words[1]).size, at)
 
