--- a/review/standin/Cloud.java
+++ b/review/standin/Cloud.java
@@ -21,6 +21,9 @@
     private long refilledAt = Platform.now();
     /** Zones in which nothing more can be rented. */
     final java.util.Set<String> soldOut = new java.util.HashSet<>();
+    /** How many of the machines rented next fail every task that they start, and until when. */
+    int sickMachines = 0;
+    long sickUntil = 0;
     final HttpServer server;
 
     Cloud(Platform platform, double rps, double lagS, List<Type> types) throws Exception {
@@ -80,6 +83,7 @@
             m.rentedAt = Platform.now();
             m.upAt = m.rentedAt + (long) (type.startupS * 1000 * (0.6 + 0.4 * Math.random()));
             m.worker = new Worker(platform, name, type, m.yard, m.spot);
+            if (sickMachines > 0) { sickMachines--; m.worker.sickUntil = sickUntil; platform.record(name + ": will fail every task that it starts"); }
             machines.put(name, m);
             names.add(name);
             platform.later(m.upAt - m.rentedAt, () -> { if (m.goneAt == 0) m.worker.boot(); });
@@ -122,6 +126,8 @@
         return Http.answer(200, Map.of("hosts", hosts, "more", more));
     }
 
+    synchronized int rented() { return machines.size(); }
+
     /** The machines that are rented and up, with their workers. */
     synchronized List<Worker> up() {
         List<Worker> up = new ArrayList<>();
--- a/review/standin/Platform.java
+++ b/review/standin/Platform.java
@@ -28,6 +28,7 @@
     private final Map<String, Map<String, Object>> jobs = new ConcurrentHashMap<>();
     private final Map<String, Double> runSeconds = new ConcurrentHashMap<>();
     final Map<String, Long> startedAt = new ConcurrentHashMap<>();
+    private final Map<String, Long> startsByJob = new ConcurrentHashMap<>();
     final List<String> labels = List.of("mastil-0", "mastil-1", "mastil-2");
     final List<String> fronts = new ArrayList<>();
     private final List<Integer> peerPorts = new ArrayList<>();
@@ -206,9 +207,13 @@
 
     void started(Worker worker, String piece, long attempt) {
         startedAt.putIfAbsent(piece, now());
+        startsByJob.merge(piece.substring(0, piece.indexOf('/')), 1L, Long::sum);
         record(worker.name + ": " + piece + " attempt " + attempt + " runs");
     }
 
+    /** How often a task of the job has been started. */
+    long starts(String ref) { return startsByJob.getOrDefault(ref, 0L); }
+
     /** Where each piece runs now. */
     Map<String, List<String>> running() {
         Map<String, List<String>> on = new TreeMap<>();
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -23,6 +23,8 @@
     private final Set<String> images = new HashSet<>();
     private long tenure = 1, tally = 0, baton = 0, leaseFrom, lastSent = 0, changedBatonAt = 0;
     private int node = 0;
+    /** Until when every task that the machine starts fails. */
+    volatile long sickUntil = 0;
     private boolean up = false, off = false, changed = false;
     private final HttpServer server;
 
@@ -171,6 +173,7 @@
         changed = true;
         notifyAll();
         platform.started(this, task.piece, task.attempt);
+        if (Platform.now() < sickUntil) { platform.later(300, () -> fail(task)); return; }
         double runS = platform.runS(task.piece);
         if (runS > 0) platform.later((long) (runS * 1000), () -> finish(task));
     }
@@ -179,6 +182,10 @@
         if (!off && tasks.get(task.piece + "#" + task.attempt) == task && task.started()) exit(task, "done");
     }
 
+    private synchronized void fail(Task task) {
+        if (!off && tasks.get(task.piece + "#" + task.attempt) == task && task.started()) exit(task, "error");
+    }
+
     private void exit(Task task, String cause) {
         platform.record(name + ": " + task.piece + " attempt " + task.attempt + " exits, " + cause);
         task.stage = "ended"; task.cause = cause;
