--- a/review/standin/Cloud.java
+++ b/review/standin/Cloud.java
@@ -126,6 +126,12 @@
         return Http.answer(200, Map.of("hosts", hosts, "more", more));
     }
 
+    /** Machines stop with all that is on them; the list shows them as running for another 30 s. */
+    void die(Worker worker) {
+        platform.record(worker.name + ": stops with all that is on it");
+        worker.powerOff();
+    }
+
     synchronized int rented() { return machines.size(); }
 
     /** The machines that are rented and up, with their workers. */
--- a/review/standin/State.java
+++ b/review/standin/State.java
@@ -23,8 +23,9 @@
 
     double rps, writeRps, valueKb;
     int txnOps;
-    /** How many transactions were refused because of their size. */
-    int tooLarge = 0;
+    /** Transactions that get no answer and are carried out later, after newer ones; null: none. */
+    volatile java.util.function.Predicate<Map<String, Object>> late = null;
+    long lateMs = 0;
     final HttpServer server;
 
     State(Platform platform, double rps, double writeRps, double valueKb, int txnOps) throws Exception {
@@ -58,7 +59,13 @@
             if (requests < 1) return Http.answer(429, Map.of("error", "too many requests"));
             requests -= 1;
         }
-        if (path.equals("/commit")) return commit(body);
+        if (path.equals("/commit")) {
+            if (late == null || !late.test(body)) return commit(body);
+            platform.record("state service: no answer, to be carried out " + lateMs / 1000.0 + " s later: " + keys(body));
+            platform.later(lateMs, () -> platform.record("state service: carried out late: " + keys(body) + ": " + commit(body)));
+            Thread.sleep(5000);
+            return null;
+        }
         if (path.equals("/follow")) return follow(query);
         if (path.equals("/kv")) return list(query);
         if (path.startsWith("/kv/")) return get(path.substring(4));
@@ -132,8 +139,15 @@
         return Http.answer(200, Map.of("epoch", epoch));
     }
 
+    /** The keys that a transaction writes. */
+    @SuppressWarnings("unchecked")
+    static List<String> keys(Map<String, Object> body) {
+        List<String> keys = new ArrayList<>();
+        for (var w : (List<Map<String, Object>>) body.getOrDefault("writes", List.of())) keys.add((String) w.getOrDefault("put", w.get("delete")));
+        return keys;
+    }
+
     private Http.Answer refuse(String error, List<Map<String, Object>> writes) {
-        tooLarge++;
         String keys = "";
         for (var w : writes) keys += " " + (w.get("put") != null
             ? w.get("put") + " (" + BodyCodec.INSTANCE.jsonSize(cast(w.get("v"))) + " bytes)" : "delete " + w.get("delete"));
