Log what a page conflict withdraws, and how much of it has ended already

Cause: nothing in the log told placements that a conflict withdraws from those that other evidence had ended while their write was in flight, so the hypotheses about a team above its limit (a second end by the conflict, by the return of the machine, by a replaced placement) could not be told apart. Change: a line for each withdrawal (ConflictHandler), with both counts; Job.isCurrent tells whether a task still has a placement, and replaces the private copy in StoredProgressListener. No behaviour changes.

--- a/src/main/kotlin/io/reedmast/model/Job.kt
+++ b/src/main/kotlin/io/reedmast/model/Job.kt
@@ -118,6 +118,10 @@
     /** The placements of all tasks, in the order of their numbers. */
     fun placements(): Sequence<Placement> = chunks.asSequence().filterNotNull().flatMap { it.placements.values }
 
+    /** Whether the task still has this placement, which has neither ended nor been replaced by another one. */
+    fun isCurrent(placement: Placement): Boolean =
+        chunks[placement.task / chunkSize]?.placements?.get(placement.task) === placement
+
     /** Places a pending task. */
     fun add(placement: Placement) {
         require(placement.job === this) { "task ${placement.id} does not belong to job ${spec.jobId}" }
--- a/src/main/kotlin/io/reedmast/persistence/ConflictHandler.kt
+++ b/src/main/kotlin/io/reedmast/persistence/ConflictHandler.kt
@@ -5,6 +5,7 @@
 import io.reedmast.model.Placement
 import io.reedmast.model.ShardState
 import io.reedmast.ports.KeyValueStore
+import org.slf4j.LoggerFactory
 
 /**
  * Handles transactions whose preconditions failed: because the shard's term or a gate of the rollout has changed, a
@@ -17,6 +18,7 @@
     private val pages: ProgressPages,
     private val listener: ProgressListener,
 ) {
+    private val log = LoggerFactory.getLogger("shard")
     private val shard = shardState.index.value
 
     /** Handles the failed preconditions on [failedPaths] of the transaction with a job's final record. */
@@ -63,6 +65,14 @@
      */
     private fun withdrawPlacements(jobId: String, written: List<Placement>) {
         val uncommitted = written.filter { it.job.spec.jobId == jobId && !it.committed }
+        if (uncommitted.isNotEmpty()) {
+            log.info(
+                "job {}: its record has changed, withdrawing {} placements, {} of which have ended",
+                jobId,
+                uncommitted.size,
+                uncommitted.count { !it.job.isCurrent(it) },
+            )
+        }
         uncommitted.forEach { shardState.finish(it, done = false) }
     }
 
--- a/src/main/kotlin/io/reedmast/shard/StoredProgressListener.kt
+++ b/src/main/kotlin/io/reedmast/shard/StoredProgressListener.kt
@@ -24,7 +24,7 @@
     override fun onPlacementStored(placement: Placement) {
         if (placement.committed) return
         placement.committed = true
-        if (!isCurrent(placement)) return
+        if (!placement.job.isCurrent(placement)) return
         if (placement.job.isCancelled) dispatcher.stop(placement, StopReason.CANCELLED)
         if (placement.stopReason == null) {
             launch(placement)
@@ -34,10 +34,6 @@
         }
     }
 
-    /** Whether the task still has this placement: it may have ended while the store was written. */
-    private fun isCurrent(placement: Placement): Boolean =
-        placement.job.chunkOf(placement.task).placements[placement.task] === placement
-
     /** A gang is launched all at once, when the last of its placements is stored. */
     private fun launch(placement: Placement) {
         val job = placement.job
