Recount the sums of every shard after each event of the stand-in world

Change: ShardRecount adds up anew the use of the teams, the placed, running, done and pending tasks and the preemptions of the jobs, the resources and services of the machines and the space of the pages; RuleChecker reports a difference as a violation.

--- a/src/test/kotlin/io/reedmast/sim/RuleChecker.kt
+++ b/src/test/kotlin/io/reedmast/sim/RuleChecker.kt
@@ -1,16 +1,18 @@
 package io.reedmast.sim
 
 import io.reedmast.kvstore.Keys
+import io.reedmast.model.ShardState
 import io.reedmast.placement.isEligible
 import io.reedmast.wire.TaskId
 import io.reedmast.wire.UserAnswer
 
 /**
  * Checks the rules of the protocol against the answers that users got, the tasks that run on each worker and the
- * contents of the store. The controllers' own state is not consulted.
+ * contents of the store. The controllers' own state is not consulted for them.
  *
- * Two conditions that the rules rely on are checked too, since they fail long before a user notices anything: a job
- * that a user got an answer about is in the store, and a task is launched only where a stored page places it.
+ * Three conditions that the rules rely on are checked too, since they fail long before a user notices anything: a job
+ * that a user got an answer about is in the store, a task is launched only where a stored page places it, and the sums
+ * that the owner of a shard keeps agree with what they sum ([ShardRecount]).
  */
 class RuleChecker(private val world: World) {
     private class RunningTasks {
@@ -40,6 +42,18 @@
         violations.add("${world.now() / 1000.0} s: $what")
     }
 
+    /** The shards whose sums have been found wrong; each is reported once, since a wrong sum stays wrong. */
+    private val miscounted = HashSet<ShardState>()
+
+    /** Compares the sums that the owner of a shard keeps with what they sum. */
+    fun checkRecount(controller: String, shardState: ShardState) {
+        if (shardState in miscounted) return
+        val mismatches = ShardRecount(shardState).mismatches()
+        if (mismatches.isEmpty()) return
+        miscounted.add(shardState)
+        addViolation("miscounted by $controller in shard ${shardState.index.value}: $mismatches")
+    }
+
     /** A worker has accepted a launch: the task occupies resources there from now on. */
     fun taskLaunched(worker: SimWorker, id: TaskId, attempt: Long) {
         residentCount.merge(id.jobId, 1, Int::plus)
--- a/src/test/kotlin/io/reedmast/sim/RuleCheckerTest.kt
+++ b/src/test/kotlin/io/reedmast/sim/RuleCheckerTest.kt
@@ -4,6 +4,8 @@
 import io.reedmast.kvstore.Precondition
 import io.reedmast.kvstore.StoreTransaction
 import io.reedmast.kvstore.Write
+import io.reedmast.placement.PlacementFixtures
+import io.reedmast.scheduling.shardState
 import io.reedmast.wire.JobState
 import io.reedmast.wire.JobStatus
 import io.reedmast.wire.TaskId
@@ -50,6 +52,14 @@
         assertViolation("forgotten wk-1")
     }
 
+    @Test
+    fun miscounted() {
+        val shardState = shardState(world)
+        PlacementFixtures.job().also { shardState.jobs["wk-1"] = it }.placedCount++
+        repeat(2) { rules.checkRecount("n0", shardState) }
+        assertViolation("miscounted by n0 in shard 0: [wk-1, placed: kept 1, recounted 0")
+    }
+
     @Test
     fun `an answer about a job that is not stored`() {
         addJob()
--- a/src/test/kotlin/io/reedmast/sim/SimController.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimController.kt
@@ -75,6 +75,9 @@
     /** The targets in its deploy file. */
     var desired: Map<FeatureName, Target> = emptyMap()
 
+    /** Whether its process may have handled an event since its shards were last recounted. */
+    var hasHandledEvent = false
+
     /** Why the process has terminated itself; null if it has not. */
     var terminationReason: String? = null
     var process: Controller? = null
@@ -97,7 +100,11 @@
 
     /** Runs [work] after [ms], or at the end of the pause if the process is paused then. */
     fun later(ms: Long, work: () -> Unit) {
-        world.after(ms) { if (isPaused) world.after(pausedUntil - world.now(), work) else work() }
+        val event = {
+            hasHandledEvent = true
+            work()
+        }
+        world.after(ms) { if (isPaused) world.after(pausedUntil - world.now(), event) else event() }
     }
 
     fun start() {
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -96,10 +96,17 @@
             events.poll()
             time = next.at
             next.work()
+            recount()
         }
         time = maxOf(time, ms)
     }
 
+    /** Recounts the shards of the controllers that the event has reached; the others cannot have changed. */
+    private fun recount() = controllers.filter { it.hasHandledEvent }.forEach { controller ->
+        controller.hasHandledEvent = false
+        controller.process?.cluster?.activeOwners()?.forEach { rules.checkRecount(controller.label, it.shardState) }
+    }
+
     fun addWorker(typeName: String, zone: String, spot: Boolean, bootMs: Long): SimWorker {
         val name = "host-%06d".format(machineCount++)
         val worker = SimWorker(this, name, machineTypes.first { it.label == typeName }, zone, spot, time)
@@ -206,6 +213,7 @@
 
     fun deliverHeartbeat(controller: SimController, status: WorkerStatus): WorkerAnswer? {
         messageCount++
+        controller.hasHandledEvent = true
         if (controller.isPaused) {
             // The process handles the heartbeat when it is no longer paused, and the answer is lost.
             controller.later(0) { controller.process?.onHeartbeat(status) }
