Mend: a placement that ends twice lowers the use of its team once

Cause: two kinds of evidence may end the same placement. Its machine was returned while the write that was to store it got no answer (onGone); when that write turned out not to have been applied, since the user had cancelled the job, ConflictHandler ended what the write had held once more. ShardState.finish lowered the team's use each time; only the counts of job and machine were guarded. That is the only place where a placement ends, so every pair of causes is covered: PageWriter.onRefused too, and a second end no longer restarts a job's waiting times or stops the next attempt of a gang. Job.remove requires the current placement instead of passing over others.

--- a/src/main/kotlin/io/reedmast/model/Job.kt
+++ b/src/main/kotlin/io/reedmast/model/Job.kt
@@ -132,17 +132,14 @@
     }
 
     /**
-     * Ends a placement. The caller must have evidence that the attempt is over.
-     *
-     * The state of the task does not change if another placement has replaced this one.
+     * Ends the current placement of a task. The caller must have evidence that the attempt is over.
      */
     fun remove(placement: Placement, done: Boolean) {
-        val chunk = chunkOf(placement.task)
-        if (chunk.placements.remove(placement.task, placement)) {
-            placedCount--
-            if (placement.running) runningCount--
-            if (done) markDone(placement.task) else pendingTasks.set(placement.task)
-        }
+        require(isCurrent(placement)) { "attempt ${placement.attempt} of task ${placement.id} has ended" }
+        chunkOf(placement.task).placements.remove(placement.task)
+        placedCount--
+        if (placement.running) runningCount--
+        if (done) markDone(placement.task) else pendingTasks.set(placement.task)
         placement.machine.remove(placement)
     }
 
--- a/src/main/kotlin/io/reedmast/model/ShardState.kt
+++ b/src/main/kotlin/io/reedmast/model/ShardState.kt
@@ -109,9 +109,15 @@
         quota.add(placement.job)
     }
 
-    /** Ends a placement whose attempt is known to be over; [done] if it completed its task. */
+    /**
+     * Ends a placement whose attempt is known to be over; [done] if it completed its task.
+     *
+     * Does nothing if the placement has ended already: the return of its machine and the outcome of its write, for
+     * example, may both end it, in either order.
+     */
     fun finish(placement: Placement, done: Boolean) {
         val job = placement.job
+        if (!job.isCurrent(placement)) return
         if (job.pendingCount == 0) job.waitingSince = clock.now()
         preemptedFor.remove(placement)?.let { it.pendingPreemptions-- }
         job.remove(placement, done)
