Machine: the direct launches that may still arrive become a class of their own

Change: DirectLaunches keeps what was sent, by attempt, and what the worker refuses from now on. No behaviour changes.

--- a/src/main/kotlin/io/reedmast/commands/CommandDispatcher.kt
+++ b/src/main/kotlin/io/reedmast/commands/CommandDispatcher.kt
@@ -123,13 +123,13 @@
     }
 
     private fun recordLaunch(machine: Machine, command: WorkerCommand.StartTask, launch: DirectLaunch) {
-        machine.recordLaunch(command.id, command.attempt, launch)
+        machine.directLaunches.recordSent(command.id, command.attempt, launch)
         val placement = machine.placements[command.id] ?: return
         if (placement.attempt == command.attempt) placement.launchEpoch = launch.epoch
     }
 
     private fun onReply(machine: Machine, launches: List<WorkerCommand.StartTask>, reply: Reply) {
-        if (reply is Reply.NotSent) launches.forEach { machine.recordLaunchNotSent(it.id, it.attempt) }
+        if (reply is Reply.NotSent) launches.forEach { machine.directLaunches.recordNotSent(it.id, it.attempt) }
         if (reply is Reply.Answer) {
             replies.onReply(machine, reply)
         } else {
--- a/src/main/kotlin/io/reedmast/heartbeats/MissingTask.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/MissingTask.kt
@@ -59,7 +59,7 @@
          */
         fun of(placement: Placement, status: WorkerStatus, source: StatusSource, highestOwnToken: Long): MissingTask {
             val machine = placement.machine
-            val mayLaunchArriveLate = machine.mayStillLaunch(placement.id, placement.attempt)
+            val mayLaunchArriveLate = machine.directLaunches.mayStillStart(placement.id, placement.attempt)
             val wasLaunchSent = placement.launchEpoch != 0L
             return when {
                 // The worker is in a later epoch: all tasks of the earlier one were killed, and launches sent for it
--- a/src/main/kotlin/io/reedmast/heartbeats/UnknownTaskHandler.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/UnknownTaskHandler.kt
@@ -61,7 +61,7 @@
      */
     private fun forget(machine: Machine, reported: TaskStatus, job: Job?): WorkerCommand? {
         if (job != null && !isResultStored(job, reported.id)) return null
-        if (machine.mayStillLaunch(reported.id, reported.attempt)) {
+        if (machine.directLaunches.mayStillStart(reported.id, reported.attempt)) {
             raiseToken(machine)
             return null
         }
--- a/src/main/kotlin/io/reedmast/model/Machine.kt
+++ b/src/main/kotlin/io/reedmast/model/Machine.kt
@@ -4,9 +4,6 @@
 import io.reedmast.wire.TaskId
 import io.reedmast.wire.WorkerStatus
 
-/** The worker epoch and the token under which a direct launch was sent. */
-data class DirectLaunch(val epoch: Long, val token: Long)
-
 /**
  * The state of a machine, as known to the owner of its shard.
  *
@@ -113,13 +110,8 @@
         unacknowledgedAnswers = 0
     }
 
-    private data class Attempt(val task: TaskId, val number: Long)
-
-    /**
-     * Direct launches by attempt, answered or not. The call, or another copy of it, may arrive late and is carried out
-     * as long as the worker's epoch and token are those under which it was sent (PROTOCOL, Delayed messages).
-     */
-    private val directLaunches = HashMap<Attempt, DirectLaunch>()
+    /** The direct launches that may still start a task here. */
+    val directLaunches = DirectLaunches()
 
     /** How many direct calls are waiting for a reply. */
     var pendingDirectCalls = 0
@@ -130,25 +122,12 @@
     var raisedToken = 0L
     var tokenRaisedAt = 0L
 
-    /** Records that a launch of the attempt is being sent to the worker by a direct call. */
-    fun recordLaunch(id: TaskId, attempt: Long, launch: DirectLaunch) {
-        directLaunches[Attempt(id, attempt)] = launch
-    }
-
-    /** Removes a recorded launch whose call was not sent, since no connection was made. */
-    fun recordLaunchNotSent(id: TaskId, attempt: Long) {
-        directLaunches.remove(Attempt(id, attempt))
-    }
-
-    /** Whether a direct launch of this attempt, or a late copy of one already carried out, may still start it here. */
-    fun mayStillLaunch(id: TaskId, attempt: Long): Boolean = Attempt(id, attempt) in directLaunches
-
     /** Records the epoch and token of the newest heartbeat; the worker refuses direct calls sent under earlier ones. */
     fun recordReportedToken(status: WorkerStatus) {
         if (status.epoch == epoch && status.token <= seenToken) return
         epoch = status.epoch
         seenToken = maxOf(seenToken, status.token)
-        directLaunches.values.removeIf { it.epoch < epoch || it.token < seenToken }
+        directLaunches.removeRefused(epoch, seenToken)
     }
 
     /** Whether the status is newer than all before. Messages may arrive out of order, and only the newest is valid. */
