Mend: a machine whose record comes late keeps its placements and their stops

Seen (stand-in world): a user's cancelled tasks run on past cancel_s (ran_cancelled), or a job whose machine is gone never runs again ("wk-1: 0 of 2 run"). Cause: a new owner whose watch lags knows a machine only from a stored placement. When the machine's record arrived, a second Machine replaced the first and its placements were made anew, without the reason of a stop, without what their worker had shown. If the machine's return was on its way, the confirmation ended the placements of the first Machine, which no task had any more, and took the second out of the shard with placements that nothing could end. Evidence: with the watch of the next owner 5 s behind, a drained owner: "21.201 s: miscounted by n1 in shard 0: [placements of all jobs, and on all machines: kept 2, recounted 0]"; 4.95 s behind: ran_cancelled. Change: there is one Machine for a name. Machine.onRecorded takes over the record; the placements stay, so whatever ends or stops them finds them. What its worker reports counts again once it has shown the owner's token, as before. Scenarios can delay the watch of the cluster's records.

--- a/src/main/kotlin/io/reedmast/model/Machine.kt
+++ b/src/main/kotlin/io/reedmast/model/Machine.kt
@@ -9,28 +9,38 @@
  *
  * Times are in ms of the controller's monotonic clock; 0 if the event has not occurred.
  *
- * @property record the machine as stored in the records of the shard.
  * @property machineType the machine type as offered by the cloud; null if the cloud does not offer it.
  * @property firstSeenAt when the owner learned of the machine; set again when [recordConflict] changes, for example
  *   when the owner of another shard has left the machine to this one.
  */
 class Machine(
-    val record: MachineRecord,
+    record: MachineRecord,
     var machineType: MachineType?,
     firstSeenAt: Long,
     /**
      * The lowest token that, once seen by the worker, proves that no command of an earlier owner can take effect there.
      */
     var minimumToken: Long,
-    private val facts: MachineFacts = MachineFacts(record.name),
+    private var facts: MachineFacts = MachineFacts(record.name),
 ) {
-    val name: String get() = record.name
+    val name: String = record.name
+
+    /** The machine as stored in the records of the shard; without a type name if they do not contain it. */
+    var record = record
+        private set
+
+    /** Whether the shard's records contain the machine; otherwise it is known only from a stored placement. */
+    val isRecorded: Boolean get() = record.typeName.isNotEmpty()
 
     var firstSeenAt = firstSeenAt
         private set
 
     /** The address of its worker; null as long as it is not known. */
-    var addr: String? by facts::addr
+    var addr: String?
+        get() = facts.addr
+        set(value) {
+            facts.addr = value
+        }
 
     /** The images cached on the machine, least recently used first, with their sizes in GB. */
     val images: Map<String, Double> get() = facts.images
@@ -110,6 +120,23 @@
         unacknowledgedAnswers = 0
     }
 
+    /**
+     * Called when the shard's records contain the machine, which was known only from a stored placement. Its placements
+     * stay, with what is known about them. As for a new machine, what is on it is known once its worker has reported
+     * [token]. If its return to the cloud is in progress, it still ends with that.
+     */
+    fun onRecorded(record: MachineRecord, machineType: MachineType?, facts: MachineFacts, token: Long, now: Long) {
+        this.record = record
+        this.machineType = machineType
+        this.facts = facts
+        minimumToken = token
+        isStateKnown = false
+        everReported = facts.addr != null
+        firstSeenAt = now
+        lastHeartbeatAt = now
+        if (!isReturning) decommissionReason = null
+    }
+
     /** The direct launches that may still start a task here. */
     val directLaunches = DirectLaunches()
 
--- a/src/main/kotlin/io/reedmast/shard/ShardMachines.kt
+++ b/src/main/kotlin/io/reedmast/shard/ShardMachines.kt
@@ -4,7 +4,6 @@
 import io.reedmast.model.DecommissionReason
 import io.reedmast.model.Machine
 import io.reedmast.model.MachineRecord
-import io.reedmast.model.Placement
 import io.reedmast.model.ShardState
 
 /** Keeps the machines of a shard, as known to its owner, in line with those that the records contain. */
@@ -39,7 +38,8 @@
 
     /** Adds the machine of [record] if it is new, and marks it for transfer if it has a [destination] shard. */
     private fun sync(record: MachineRecord, destination: Int?) {
-        val machine = shardState.machines[record.name]?.takeIf { isFromRecord(it) } ?: add(record)
+        val machine = shardState.machines[record.name] ?: add(record)
+        if (!machine.isRecorded) onRecorded(machine, record)
         machine.updateRecordConflict(records.recordConflictOf(shardState.index, record.name), clock.now())
         if (destination != null && machine.decommissionReason == null) {
             machine.decommissionReason = DecommissionReason.TRANSFER
@@ -50,28 +50,21 @@
         }
     }
 
-    /** Whether the machine was added from a record; one known only from a stored placement has no type name. */
-    private fun isFromRecord(machine: Machine): Boolean = machine.record.typeName.isNotEmpty()
-
     private fun add(record: MachineRecord): Machine {
         val type = shardState.machineTypeOf(record.typeName)
         val machine =
             Machine(record, type, clock.now(), shardState.token, records.machineDirectory.factsOf(record.name))
         // If its address is known from another owner, the machine has been up before.
         machine.everReported = machine.addr != null
-        shardState.machines[record.name]?.let { movePlacements(it, machine) }
         shardState.machines[record.name] = machine
         return machine
     }
 
-    /** Recreates on [to] the placements of [from], the same machine as known only from stored placements. */
-    private fun movePlacements(from: Machine, to: Machine) {
-        for (old in from.placements.values.toList()) {
-            val placement = Placement(old.job, old.task, old.attempt, to, old.createdAt)
-            placement.committed = old.committed
-            old.job.chunkOf(old.task).placements[old.task] = placement
-            to.add(placement)
-        }
+    /** Handles the record of a machine that was known only from a stored placement. */
+    private fun onRecorded(machine: Machine, record: MachineRecord) {
+        val type = shardState.machineTypeOf(record.typeName)
+        val facts = records.machineDirectory.factsOf(record.name)
+        machine.onRecorded(record, type, facts, shardState.token, clock.now())
     }
 
     /** Called when the cloud's machine types or their prices have changed. */
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -269,6 +269,8 @@
             "repeat-reports" -> world.workers[words[1]]?.heartbeatCopyDelayMs = (words[2].toDouble() * 1000).toLong()
             "delay-job-watch" -> world.controllers.first { it.label == words[1] }.jobWatchIntervalMs =
                 (words[2].toDouble() * 1000).toLong()
+            "delay-cluster-watch" -> world.controllers.first { it.label == words[1] }.clusterWatchIntervalMs =
+                (words[2].toDouble() * 1000).toLong()
             "slow-store" -> world.storeSlowdown = words[1].toLong()
             "corrupt-record" -> world.store.corrupt(words[1])
             // Powers the machine off without telling anyone.
--- a/src/test/kotlin/io/reedmast/sim/SimController.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimController.kt
@@ -85,6 +85,10 @@
     /** The minimum interval between deliveries of job changes to the process; 0: with every poll of the watch. */
     var jobWatchIntervalMs = 0L
     private var nextJobWatchAt = 0L
+
+    /** The same for changes of the cluster's records. */
+    var clusterWatchIntervalMs = 0L
+    private var nextClusterWatchAt = 0L
     private var watchedRevision = 0L
     private var watchedJobsRevision = 0L
     private var snapshotLoaded = false
@@ -201,12 +205,18 @@
         if (predatesRollouts) asBeforeRollouts(path, value) else value
 
     private fun deliverChanges(current: Controller) {
+        if (world.now() >= nextClusterWatchAt) deliverClusterChanges(current)
+        if (world.now() >= nextJobWatchAt) deliverJobChanges(current)
+    }
+
+    private fun deliverClusterChanges(current: Controller) {
         val store = world.store
         val changes = store.changesSince(watchedRevision)
         if (changes == null) {
             snapshotLoaded = false
             return
         }
+        nextClusterWatchAt = world.now() + clusterWatchIntervalMs
         watchedRevision = store.revision
         val clusterChanges = changes.filter { it.path.startsWith(Keys.CLUSTER) && isVisible(it.path) }
         current.cluster.watchResults.onClusterEvents(
@@ -216,7 +226,10 @@
             watchedRevision,
             world.now(),
         )
-        if (world.now() < nextJobWatchAt) return
+    }
+
+    private fun deliverJobChanges(current: Controller) {
+        val store = world.store
         val jobChanges = store.changesSince(watchedJobsRevision)
         if (jobChanges == null) {
             snapshotLoaded = false
