--- a/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
+++ b/src/test/kotlin/io/reedmast/RandomizedFaultTest.kt
@@ -47,6 +47,12 @@
         RandomDay(it, contested = true)
     }
 
+    /** Writes of placements take effect late, and meanwhile other evidence ends the placements. */
+    @TestFactory
+    fun `scenarios with late writes`(): List<DynamicTest> = scenarioTests("late write day") {
+        RandomDay(it, lateWrites = true)
+    }
+
     private fun scenarioTests(name: String, scenario: (Long) -> RandomDay): List<DynamicTest> = seeds().map { seed ->
         DynamicTest.dynamicTest("$name $seed") {
             val lines = scenario(seed).lines()
--- a/src/test/kotlin/io/reedmast/sim/RandomDay.kt
+++ b/src/test/kotlin/io/reedmast/sim/RandomDay.kt
@@ -9,6 +9,8 @@
  * @property upgrade whether controllers are upgraded one after the other
  * @property rollout whether features are rolled out and reverted
  * @property contested whether machines get into the records of two shards, as earlier versions left them
+ * @property lateWrites whether writes of placements take effect late, while their machines die and their jobs are
+ *   cancelled, and shards go to controllers whose watches lag
  * @property rentals whether machines boot at once (within 0.3 s) while replies to rentals are late or lost
  */
 class RandomDay(
@@ -18,6 +20,7 @@
     private val rollout: Boolean = false,
     private val rentals: Boolean = false,
     private val contested: Boolean = false,
+    private val lateWrites: Boolean = false,
 ) {
     private val random = Random(seed)
     private val events = ArrayList<Pair<Double, String>>()
@@ -39,6 +42,7 @@
         if (rollout) addRollout(Random(seed xor ROLLOUT_SEED))
         if (rentals) addSlowRentals(Random(seed xor RENTAL_SEED))
         if (contested) addContestedMachines(Random(seed xor CONTESTED_SEED))
+        if (lateWrites) addLateWrites(Random(seed xor LATE_WRITES_SEED))
         at(FAULTS_END_S, "faults-over")
         at(FAULTS_END_S + 60, "expect all-jobs-answered")
         at(FAULTS_END_S + 220, "expect settled")
@@ -97,6 +101,41 @@
         )
     }
 
+    /** Several kinds of evidence end the same placements, and a new owner may not know all machines yet. */
+    private fun addLateWrites(ownRandom: Random) {
+        repeat(ownRandom.nextInt(2, 5)) { addLateWrite(ownRandom, "wk-${300 + it}") }
+        repeat(ownRandom.nextInt(1, 4)) { addDrainWithLateWatches(ownRandom) }
+        for (i in 0 until CONTROLLERS) at(FAULTS_END_S, "operator undrain n$i any-result")
+    }
+
+    /** An array whose placements are stored 8 to 20 s late, while machines are lost and, mostly, it is cancelled. */
+    private fun addLateWrite(ownRandom: Random, jobId: String) {
+        val from = roundedTime(ownRandom, 8.0, FAULTS_END_S - 30.0)
+        for (i in 0 until CONTROLLERS) at(from, "delay-commit n$i ${ownRandom.nextInt(8, 20)} page/")
+        val team = listOf("a", "b", "c").random(ownRandom)
+        at(from + 0.1, "submit $jobId team=$team tasks=${ownRandom.nextInt(2, 6)} run=20 priority=urgent retry=true")
+        repeat(ownRandom.nextInt(1, 4)) {
+            at(
+                roundedTime(ownRandom, from + 0.2, from + 3.0),
+                "kill-machine host-%06d".format(ownRandom.nextInt(MACHINES + 4)),
+            )
+        }
+        if (ownRandom.nextInt(4) > 0) at(roundedTime(ownRandom, from + 0.3, from + 12.0), "abort $jobId retry=true")
+    }
+
+    /** A controller hands its shards over to others that learn of changes to machines up to 5.5 s late. */
+    private fun addDrainWithLateWatches(ownRandom: Random) {
+        val from = roundedTime(ownRandom, 8.0, FAULTS_END_S - 30.0)
+        for (i in 0 until CONTROLLERS) at(from, "delay-cluster-watch n$i ${roundedTime(ownRandom, 0.1, 5.5)}")
+        val drained = "n${ownRandom.nextInt(CONTROLLERS)}"
+        at(roundedTime(ownRandom, from + 2.0, from + 15.0), "operator drain $drained any-result")
+        at(from + 15.0, "operator undrain $drained any-result")
+        for (i in 0 until CONTROLLERS) at(from + 16.0, "delay-cluster-watch n$i 0")
+    }
+
+    private fun roundedTime(ownRandom: Random, from: Double, to: Double) =
+        Math.round(ownRandom.nextDouble(from, to) * 10) / 10.0
+
     private fun addJobs() {
         for (i in 1..JOBS) {
             val service = random.nextInt(3) == 0
@@ -338,6 +377,7 @@
         const val ROLLOUT_SEED = 0x6a7eL
         const val CONTESTED_SEED = 0x3c0dL
         const val RENTAL_SEED = 0x2e47L
+        const val LATE_WRITES_SEED = 0x1a7eL
 
         /** Gangs start as a whole or not at all: enough extra machines for the largest gangs beside all services. */
         const val EXTRA_MACHINES_FOR_GANGS = 6
