Mend: a job that failed on unhealthy machines gets a machine for its next try

Rule: "no job is left waiting for 90 s while a machine that fits has room and its team is under its limit". Cause: a job that failed on four machines in a row is suspected to be faulty until a task of it completes, and suspected jobs were left out of the demand: nothing was rented on which one could complete, once the last machine had been returned as idle before the next try was due. Change: when the next try is due, and no present machine has taken it a second later, the job is in the demand with one task (a gang with all), after all other jobs. Scenarios can have machines fail every task from when they are rented.

--- a/src/main/kotlin/io/reedmast/autoscaling/DemandCalculation.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/DemandCalculation.kt
@@ -27,8 +27,19 @@
     }
 
     private fun waitingJobs(): List<Job> = shardState.jobs.values
-        .filter { it.pendingCount > 0 && !it.isFinalRecordInFlight && !shardState.urgency.isSuspectedFaulty(it) }
-        .sortedWith(compareBy({ !it.spec.isService }, { it.spec.priority }, { shardState.urgency.deadlineMs(it) }))
+        .filter { it.pendingCount > 0 && !it.isFinalRecordInFlight && !isRetryPending(it) }
+        .sortedWith(
+            compareBy(
+                { shardState.urgency.isSuspectedFaulty(it) },
+                { !it.spec.isService },
+                { it.spec.priority },
+                { shardState.urgency.deadlineMs(it) },
+            ),
+        )
+
+    /** Whether a job that seems faulty is not to be tried again yet, or may still find a machine that the shard has. */
+    private fun isRetryPending(job: Job): Boolean = shardState.urgency.isSuspectedFaulty(job) &&
+        shardState.clock.now() < job.placementNotBefore + RETRY_ON_PRESENT_MACHINES_MS
 
     private fun demandOf(job: Job): List<Demand> {
         val startable = startableTasks(job)
@@ -49,10 +60,15 @@
         return cpuQuota.allocate(job, tasks)
     }
 
-    /** How many of the [startable] tasks need new machines, given the capacity of the booting ones. */
+    /**
+     * How many of the [startable] tasks need new machines, given the capacity of the booting ones. A job that seems
+     * faulty gets machines for one try: it is not at fault if unhealthy machines have failed its tasks.
+     */
     private fun tasksToProvision(job: Job, startable: Int, allowedZones: Set<String>?): Int {
-        val withoutCapacity = allocateAndCountRemaining(job.spec, startable, bootingCapacityIn(allowedZones))
-        return if (isArray(job.spec)) tasksToMeetDeadline(job, withoutCapacity) else withoutCapacity
+        val wanted = if (shardState.urgency.isSuspectedFaulty(job)) minTasksToStart(job.spec) else startable
+        val withoutCapacity = allocateAndCountRemaining(job.spec, wanted, bootingCapacityIn(allowedZones))
+        val isLimitedByDeadline = isArray(job.spec) && !shardState.urgency.isSuspectedFaulty(job)
+        return if (isLimitedByDeadline) tasksToMeetDeadline(job, withoutCapacity) else withoutCapacity
     }
 
     private fun bootingCapacityIn(allowedZones: Set<String>?): List<FreeCapacity> {
@@ -92,4 +108,9 @@
 
     private fun demandFor(job: Job, tasks: Int, zone: String?): Demand =
         Demand.of(job.spec, shardState.urgency.isPastDeadline(job), tasks, zone)
+
+    private companion object {
+        /** How long a due retry may wait for a scheduling pass before a machine is rented for it. */
+        const val RETRY_ON_PRESENT_MACHINES_MS = 1_000L
+    }
 }
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -265,6 +265,11 @@
             // No message passes between the zone's machines, including those that start later, and any controller.
             "partition-zone" -> world.setZonePartitioned(words[1], words[2] == "on")
             "set-unhealthy" -> world.workers[words[1]]?.unhealthy = words[2] == "on"
+            // Every task fails on machines rented from now on; `off` ends that, there and on all other machines.
+            "set-new-machines-unhealthy" -> {
+                world.newMachinesUnhealthy = words[1] == "on"
+                if (!world.newMachinesUnhealthy) world.workers.values.forEach { it.unhealthy = false }
+            }
             "set-unreachable" -> world.workers[words[1]]?.unreachable = words[2] == "on"
             "repeat-reports" -> world.workers[words[1]]?.heartbeatCopyDelayMs = (words[2].toDouble() * 1000).toLong()
             "delay-job-watch" -> world.controllers.first { it.label == words[1] }.jobWatchIntervalMs =
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -112,6 +112,7 @@
         val worker = SimWorker(this, name, machineTypes.first { it.label == typeName }, zone, spot, time)
         workers[name] = worker
         worker.partitioned = zone in partitionedZones
+        worker.unhealthy = newMachinesUnhealthy
         workersByAddr[worker.addr] = worker
         after(bootMs) { worker.start() }
         return worker
@@ -120,6 +121,9 @@
     /** Each direct call that was executed arrives again after this delay; 0: none does. */
     var directCallRepeatDelayMs = 0L
 
+    /** Whether every task fails on the machines that are rented from now on. */
+    var newMachinesUnhealthy = false
+
     private val partitionedZones = HashSet<String>()
 
     fun setZonePartitioned(zone: String, on: Boolean) {
