Mend: demand that does not fit into a usage summary is shown in the next one

Rule: "no job is left waiting for 90 s while a machine that fits has room and its team is under its limit". Cause: a summary that is too large lost its demand from the end, and held twelve kinds at most; the order is by urgency, so the leader never saw the same kinds for as long as those before them waited. Change: where not all kinds fit, the next summary begins with the first kind left out (DemandRotation). As long as all fit, nothing changes; the stored form is the same. Scenarios can sell a zone out and allow types. Measured: demand-behind-a-sold-out-zone fails before ("running wk-8: 0" 99 s after) and passes now.

--- a/src/main/kotlin/io/reedmast/autoscaling/ShardUsageSummary.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/ShardUsageSummary.kt
@@ -19,7 +19,8 @@
  *   [io.reedmast.model.ChargedUsage] stores it.
  * @property ratio The fair-share ratio, charged usage divided by allocation, of the team that is furthest below its
  *   share among those with pending tasks; 0 if there is none.
- * @property demand Tasks that the shard lacks capacity for, the most urgent first.
+ * @property demand Tasks that the shard lacks capacity for, the most urgent first; if there are too many kinds for one
+ *   summary, [DemandRotation] says which come first.
  * @property idle Names of the machines that may move to another shard at once.
  * @property drainable Names of the machines that could be drained for another shard, the cheapest to drain first.
  * @property starvingJobs Jobs that are nearly starving, those that have waited longest first.
--- a/src/main/kotlin/io/reedmast/autoscaling/UsageSummaryWriter.kt
+++ b/src/main/kotlin/io/reedmast/autoscaling/UsageSummaryWriter.kt
@@ -30,12 +30,14 @@
     private val path = Keys.usageSummary(shard.value)
     private val drainCandidates = DrainCandidates(shardState)
     private val zoneAvailability = ZoneAvailability(shardState)
+    private val demandRotation = DemandRotation()
     private var storedVersion = 0L
     private var writing = false
     private var writeDueAt = 0L
     private var lastDemand: List<Demand> = emptyList()
     private var lastWrittenAt = 0L
     private var logDueAt = 0L
+    private var omittedLogDueAt = 0L
 
     /** Loads the charged usage and the version from the previous owner's summary. Logs one that cannot be read. */
     fun load(stored: StoredItem) {
@@ -62,7 +64,24 @@
         store(summary(demand, starvingJobs, now), if (isUrgent) WritePriority.URGENT else WritePriority.DEFERRED)
     }
 
-    private fun summary(demand: List<Demand>, starvingJobs: List<StarvingJob>, now: Long) = ShardUsageSummary(
+    /** The summary, with as much of the demand as fits; what does not fit is in the next ones. */
+    private fun summary(demand: List<Demand>, starvingJobs: List<StarvingJob>, now: Long): ShardUsageSummary {
+        val rotated = demandRotation.rotate(demand)
+        val summary = completeSummary(rotated, starvingJobs, now).truncatedTo(maxBytes())
+        demandRotation.recordIncluded(rotated, summary.demand.size)
+        logOmitted(summary.demand.size, demand.size, now)
+        return summary
+    }
+
+    private fun logOmitted(includedKinds: Int, kinds: Int, now: Long) {
+        if (includedKinds == kinds || now < omittedLogDueAt) return
+        omittedLogDueAt = now + LOG_INTERVAL_MS
+        log.info("shard {}: usage summary holds {} of {} kinds of demand", shard.value, includedKinds, kinds)
+    }
+
+    private fun maxBytes(): Int = shardState.limits.target.valueBytes * MAX_FILLED_PERCENT / PERCENT - ENVELOPE_BYTES
+
+    private fun completeSummary(demand: List<Demand>, starvingJobs: List<StarvingJob>, now: Long) = ShardUsageSummary(
         shard,
         machinesVersion(),
         shardState.fairShare.usage.toFields(shardState.teams, maxBuckets()),
@@ -72,7 +91,7 @@
         drainable = drainCandidates.select(now),
         starvingJobs = starvingJobs,
         unavailableZones = zoneAvailability.unavailableZones(now),
-    ).truncatedTo(shardState.limits.target.valueBytes * MAX_FILLED_PERCENT / PERCENT - ENVELOPE_BYTES)
+    )
 
     /** The fair-share ratio of the team with pending tasks that is furthest below its share; 0 if there is none. */
     private fun lowestRatio(): Double {
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -270,6 +270,8 @@
                 world.newMachinesUnhealthy = words[1] == "on"
                 if (!world.newMachinesUnhealthy) world.workers.values.forEach { it.unhealthy = false }
             }
+            "set-sold-out" ->
+                if (words[2] == "on") world.soldOutZones.add(words[1]) else world.soldOutZones.remove(words[1])
             "set-unreachable" -> world.workers[words[1]]?.unreachable = words[2] == "on"
             "repeat-reports" -> world.workers[words[1]]?.heartbeatCopyDelayMs = (words[2].toDouble() * 1000).toLong()
             "delay-job-watch" -> world.controllers.first { it.label == words[1] }.jobWatchIntervalMs =
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -124,6 +124,9 @@
     /** Whether every task fails on the machines that are rented from now on. */
     var newMachinesUnhealthy = false
 
+    /** The zones in which the cloud has no machines to rent. */
+    val soldOutZones = HashSet<String>()
+
     private val partitionedZones = HashSet<String>()
 
     fun setZonePartitioned(zone: String, on: Boolean) {
@@ -165,6 +168,7 @@
     fun provision(request: ProvisioningRequest): ProvisioningResult {
         val names = machinesByRequest.getOrPut(request.requestName) {
             if (cloudUnavailable) return ProvisioningResult.Failed
+            if (request.zone in soldOutZones) return ProvisioningResult.NoCapacity
             val count = minOf(request.count, capacity - workers.size).coerceAtLeast(0)
             (0 until count).map {
                 addWorker(request.typeName, request.zone, request.spot, bootMs(request.typeName)).name
@@ -203,7 +207,7 @@
             memoryGb = 1.0,
             image = args["image"] ?: "img",
             imageGb = args["imageGb"]?.toDouble() ?: 0.1,
-            allowedTypes = null,
+            allowedTypes = args["types"]?.split(','),
             zone = args["zone"],
             oneZone = args["oneZone"] == "true",
             spread = args["spread"] == "true",
