--- a/src/test/kotlin/io/reedmast/sim/RandomDay.kt
+++ b/src/test/kotlin/io/reedmast/sim/RandomDay.kt
@@ -27,7 +27,7 @@
 
     private fun at(seconds: Double, event: String) = events.add(seconds to event)
 
-    private fun randomTime(from: Double, to: Double) = Math.round(random.nextDouble(from, to) * 10) / 10.0
+    private fun randomTime(from: Double, to: Double) = roundedTime(random, from, to)
 
     private fun randomController() = "n${random.nextInt(CONTROLLERS)}"
 
@@ -77,26 +77,25 @@
 
     /** Workers report before the leader knows that it has rented their machines, more often with a slower store. */
     private fun addSlowRentals(ownRandom: Random) {
-        fun ownRandomTime(from: Double, to: Double) = Math.round(ownRandom.nextDouble(from, to) * 10) / 10.0
         at(1.0, "delay-rental-replies ${ownRandom.nextInt(1, 60) * 0.02}")
         repeat(6) {
             at(
-                ownRandomTime(2.0, FAULTS_END_S),
+                roundedTime(ownRandom, 2.0, FAULTS_END_S),
                 "delay-rental-replies ${ownRandom.nextInt(1, 60) * listOf(0.005, 0.02, 0.1).random(ownRandom)}",
             )
-            at(ownRandomTime(2.0, FAULTS_END_S), "lose-rental-replies ${ownRandom.nextInt(1, 4)}")
+            at(roundedTime(ownRandom, 2.0, FAULTS_END_S), "lose-rental-replies ${ownRandom.nextInt(1, 4)}")
         }
         repeat(2) {
-            val from = ownRandomTime(2.0, FAULTS_END_S - 10.0)
+            val from = roundedTime(ownRandom, 2.0, FAULTS_END_S - 10.0)
             at(from, "slow-store ${ownRandom.nextInt(5, 60)}")
-            at(ownRandomTime(from, FAULTS_END_S), "slow-store 1")
+            at(roundedTime(ownRandom, from, FAULTS_END_S), "slow-store 1")
         }
     }
 
     private fun addContestedMachines(ownRandom: Random) = repeat(ownRandom.nextInt(2, 8)) {
         val machine = "host-%06d".format(ownRandom.nextInt(MACHINES + 4))
         at(
-            Math.round(ownRandom.nextDouble(4.0, FAULTS_END_S) * 10) / 10.0,
+            roundedTime(ownRandom, 4.0, FAULTS_END_S),
             "duplicate-machine-record $machine ${ownRandom.nextInt(CONTROLLERS)}",
         )
     }
@@ -133,6 +132,7 @@
         for (i in 0 until CONTROLLERS) at(from + 16.0, "delay-cluster-watch n$i 0")
     }
 
+    /** A time between two times, in seconds, rounded to tenths. */
     private fun roundedTime(ownRandom: Random, from: Double, to: Double) =
         Math.round(ownRandom.nextDouble(from, to) * 10) / 10.0
 
@@ -167,7 +167,7 @@
      */
     private fun addUpgrade(ownRandom: Random): Double {
         for (i in 1..ARRAYS) {
-            val from = Math.round(ownRandom.nextDouble(2.0, FAULTS_END_S - 40.0) * 10) / 10.0
+            val from = roundedTime(ownRandom, 2.0, FAULTS_END_S - 40.0)
             val jobId = "wk-${200 + i}"
             val team = listOf("a", "b", "c").random(ownRandom)
             at(
@@ -195,30 +195,32 @@
      * target.
      */
     private fun addRollout(ownRandom: Random) {
-        fun ownRandomTime(from: Double, to: Double) = Math.round(ownRandom.nextDouble(from, to) * 10) / 10.0
         val features = listOf("fenced-tokens", "dense-pages")
         repeat(ownRandom.nextInt(2, 7)) {
             val action = listOf("enable", "enable", "revert").random(ownRandom)
             at(
-                ownRandomTime(5.0, FAULTS_END_S),
+                roundedTime(ownRandom, 5.0, FAULTS_END_S),
                 "operator $action ${features.random(ownRandom)} by=${it % 2} any-result",
             )
         }
         repeat(ownRandom.nextInt(1, 6)) {
             val controller = "n${ownRandom.nextInt(CONTROLLERS)}"
-            val from = ownRandomTime(8.0, FAULTS_END_S - 10.0)
+            val from = roundedTime(ownRandom, 8.0, FAULTS_END_S - 10.0)
             at(from, "version $controller ${ownRandom.nextInt(0, 4)}")
-            at(ownRandomTime(from + 0.1, from + if (ownRandom.nextBoolean()) 0.6 else 20.0), "start $controller")
+            at(
+                roundedTime(ownRandom, from + 0.1, from + if (ownRandom.nextBoolean()) 0.6 else 20.0),
+                "start $controller",
+            )
         }
         if (ownRandom.nextBoolean()) {
             at(
-                ownRandomTime(20.0, FAULTS_END_S),
+                roundedTime(ownRandom, 20.0, FAULTS_END_S),
                 "operator exclude n${ownRandom.nextInt(CONTROLLERS)} any-result",
             )
         }
         if (ownRandom.nextBoolean()) {
             at(
-                ownRandomTime(10.0, FAULTS_END_S),
+                roundedTime(ownRandom, 10.0, FAULTS_END_S),
                 "operator drain n${ownRandom.nextInt(CONTROLLERS)} any-result",
             )
         }
@@ -250,7 +252,7 @@
             val zones = listOf("", " oneZone=true", " oneZone=true", " spread=true", " zone=y").random(ownRandom)
             val priority = listOf("standard", "best_effort", "urgent").random(ownRandom)
             val checkpoint = if (ownRandom.nextBoolean()) " checkpoint=${ownRandom.nextInt(2, 20)}" else ""
-            val from = Math.round(ownRandom.nextDouble(maxOf(2.0, notBefore), FAULTS_END_S - 20.0) * 10) / 10.0
+            val from = roundedTime(ownRandom, maxOf(2.0, notBefore), FAULTS_END_S - 20.0)
             val team = listOf("a", "b", "c").random(ownRandom)
             val image = if (ownRandom.nextBoolean()) " imageGb=${ownRandom.nextInt(1, 6)}" else ""
             at(
