SimStore: check moved machines once a transaction is applied, not between its writes

Cause: the check for machines in two shards ran after each write of a transaction. Change: the check runs after all writes. As strict: the store applies a transaction as a whole, nobody sees a state between its writes, and every state after one is checked as before.

--- a/src/test/kotlin/io/reedmast/sim/SimStore.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimStore.kt
@@ -158,6 +158,7 @@
                 is Write.Delete -> remove(write.path)
             }
         }
+        checkMachinesMoved(transaction.writes)
         compactLog()
         return CommitReply.Applied(revision)
     }
@@ -223,13 +224,19 @@
         changeLog.add(WatchEvent(path, stored, revision))
     }
 
+    /** Checked once all [writes] of a transaction are applied: nobody sees a state between them. */
+    private fun checkMachinesMoved(writes: List<Write>) {
+        duplicatedMachines.removeIf { shardsListing(it).size < 2 }
+        val machineLists = writes.filter { it is Write.Put && it.path.startsWith(Keys.MACHINES) }
+        machineLists.forEach { checkMachinesMoved(it.path, entries.getValue(it.path).value) }
+    }
+
     /**
      * A machine that is added to a shard must not be in the records of another shard, nor be named by a page of one:
      * that shard's next owner would return the machine.
      */
     private fun checkMachinesMoved(path: String, value: Fields) {
         val shard = path.removePrefix(Keys.MACHINES).substringBefore('/')
-        duplicatedMachines.removeIf { shardsListing(it).size < 2 }
         val machineNames = MachineListPart.parse(value).records.mapTo(HashSet()) { it.name } - duplicatedMachines
         for ((other, entry) in entries.tailMap(Keys.MACHINES).entries.takeWhile { it.key.startsWith(Keys.MACHINES) }) {
             if (other.startsWith("${Keys.MACHINES}$shard/") || "form" in entry.value) continue
@@ -256,7 +263,6 @@
         recordPlacements(write.path, value)
         putsByKind.merge(write.path.substringBefore('/'), 1, Int::plus)
         world.rolloutRules.checkStored(write.path, value)
-        if (write.path.startsWith(Keys.MACHINES)) checkMachinesMoved(write.path, value)
         changeLog.add(WatchEvent(write.path, value, revision))
     }
 
