A shard's placements are limited by number: arrays of small tasks end no controller

Cause: limits are by size alone (cpus_max, the machines' resources). A pass placed every task that fits, 320,000 on two machines, each with a Placement in memory until the store has taken its page. Evidence: class histograms every 1.5 s of a run: 64,354, then 320,000 instances of Placement with their map entries and TaskIds, 77 MB of 112 MB of heap; nothing else above 3 MB. So H1 (placements) holds, H2 (pending tasks of jobs) and H3 (writes, commands and launches in flight) don't. Change: PlacementLimits. Nothing is preempted for a job that is held back. A log line names the jobs held back. ShardRecount recounts both sums. Why it works: what the owner holds no longer grows with the tasks that fit.

--- a/src/main/kotlin/io/reedmast/model/ShardState.kt
+++ b/src/main/kotlin/io/reedmast/model/ShardState.kt
@@ -57,6 +57,9 @@
     /** Resources that the teams' placements use, compared with their guaranteed quotas and limits. */
     val quota = TeamQuota(settings)
 
+    /** The number of placements, compared with what the owner may hold. */
+    val placementLimits = PlacementLimits(tuning.maxPlacements / settings.shardCount, settings.teams.size)
+
     /** Recent usage of the teams, compared with their allocations. */
     val fairShare = FairShare(settings, tuning, clock, quota, teams)
 
@@ -107,6 +110,14 @@
     fun place(placement: Placement) {
         placement.job.add(placement)
         quota.add(placement.job)
+        placementLimits.recordPlaced(placement)
+    }
+
+    /** Records that the store holds a placement, which may have ended meanwhile. */
+    fun recordStored(placement: Placement) {
+        if (placement.committed) return
+        placement.committed = true
+        if (placement.job.isCurrent(placement)) placementLimits.recordStored(placement)
     }
 
     /**
@@ -128,6 +139,7 @@
         if (job.spec.isGang && !done && job.placedCount > 0) incompleteGangs.add(job)
         markDirty(job.chunkOf(placement.task))
         quota.remove(job)
+        placementLimits.recordEnded(placement)
         if (placement.machine.placements.isEmpty()) placement.machine.emptySince = clock.now()
         schedulingPassRequested = true
     }
--- a/src/main/kotlin/io/reedmast/scheduling/JobPlacer.kt
+++ b/src/main/kotlin/io/reedmast/scheduling/JobPlacer.kt
@@ -23,6 +23,10 @@
      */
     fun placeNext(job: Job, pass: SchedulingPass): Boolean {
         if (job.pendingCount <= 0 || shardState.quota.remainingTasks(job) < 1) return false
+        if (!shardState.placementLimits.allows(job)) {
+            pass.jobsHeldBack.add(job)
+            return false
+        }
         val isPlaced = if (job.spec.isGang) placeGang(job, pass) else placeTask(job, pass)
         if (isPlaced) pass.recordPlaced(job)
         return isPlaced
--- a/src/main/kotlin/io/reedmast/scheduling/Preemptor.kt
+++ b/src/main/kotlin/io/reedmast/scheduling/Preemptor.kt
@@ -45,6 +45,7 @@
 
     private fun needsPreemption(job: Job, nowMs: Long, bootingCapacity: List<FreeCapacity>): Boolean {
         if (!job.spec.priority.isFunded || !hasTasksToPreemptFor(job)) return false
+        if (!shardState.placementLimits.allows(job)) return false
         if (nowMs - job.waitingSince < preemptionDelayMs(job)) return false
         // A job that is not latency-sensitive can wait for the booting machines if it fits there; a latency-sensitive
         // one has to start sooner.
--- a/src/main/kotlin/io/reedmast/scheduling/Scheduler.kt
+++ b/src/main/kotlin/io/reedmast/scheduling/Scheduler.kt
@@ -19,6 +19,7 @@
 ) {
     private val log = LoggerFactory.getLogger("shard")
     private val timer = PassTimer()
+    private val limitLog = PlacementLimitLog(shardState)
     private val reservations = GangReservations()
     private val protection = PreemptionProtection(shardState)
     private val preemptionCandidates = PreemptionCandidates(shardState, protection)
@@ -67,6 +68,7 @@
         placeByFairShare(fundedJobs, pass)
         placeByFairShare(bestEffortJobs, pass)
         logPlacements(pass)
+        limitLog.record(pass)
         preemptor.preempt(readyJobs, pass)
     }
 
--- a/src/main/kotlin/io/reedmast/scheduling/SchedulingPass.kt
+++ b/src/main/kotlin/io/reedmast/scheduling/SchedulingPass.kt
@@ -19,6 +19,9 @@
      */
     val shapesWithoutMachine = HashSet<TaskShape>()
 
+    /** Jobs of which nothing more was placed because of [io.reedmast.model.PlacementLimits]. */
+    val jobsHeldBack = HashSet<Job>()
+
     private val placementsByJob = HashMap<Job, Int>()
 
     /** The number of placements made for each job; a whole gang counts as one. */
--- a/src/main/kotlin/io/reedmast/settings/Tuning.kt
+++ b/src/main/kotlin/io/reedmast/settings/Tuning.kt
@@ -1,6 +1,9 @@
 package io.reedmast.settings
 
-/** Parameters that operators may tune, in seconds: each has a flag, an environment variable and this default. */
+/**
+ * Parameters that operators may tune, in seconds: each has a flag, an environment variable and this default. Limits
+ * that follow from the process itself have neither flag nor variable.
+ */
 data class Tuning(
     /** The sliding window over which charged use is counted. */
     val usageWindowS: Double = DEFAULT_USAGE_WINDOW_S,
@@ -12,6 +15,8 @@
     val usageSummaryIntervalS: Double = 5.0,
     /** How long an empty on-demand machine is kept before it is returned; null: derived from boot and fetch times. */
     val idleTimeoutS: Double? = null,
+    /** How many placements all shards together may hold; it follows from the heap. */
+    val maxPlacements: Int = MemoryBudget.maxPlacements(Runtime.getRuntime().maxMemory()),
 ) {
     private companion object {
         const val DEFAULT_USAGE_WINDOW_S = 6 * 3600.0
--- a/src/main/kotlin/io/reedmast/shard/StoredProgressListener.kt
+++ b/src/main/kotlin/io/reedmast/shard/StoredProgressListener.kt
@@ -23,7 +23,7 @@
 
     override fun onPlacementStored(placement: Placement) {
         if (placement.committed) return
-        placement.committed = true
+        shardState.recordStored(placement)
         if (!placement.job.isCurrent(placement)) return
         if (placement.job.isCancelled) dispatcher.stop(placement, StopReason.CANCELLED)
         if (placement.stopReason == null) {
--- a/src/test/kotlin/io/reedmast/loopback/LoopbackCluster.kt
+++ b/src/test/kotlin/io/reedmast/loopback/LoopbackCluster.kt
@@ -113,6 +113,7 @@
             java,
             "-Xmx112m",
             "-XX:+UseSerialGC",
+            "-XX:+ExitOnOutOfMemoryError",
             "-cp",
             programClassPath,
             "io.reedmast.app.MainKt",
--- a/src/test/kotlin/io/reedmast/sim/ShardRecount.kt
+++ b/src/test/kotlin/io/reedmast/sim/ShardRecount.kt
@@ -19,12 +19,14 @@
     private val cpusByTeam = DoubleArray(shardState.settings.teams.size)
     private val preemptionsByJob = HashMap<Job, Int>()
     private var placementCount = 0
+    private var unstoredCount = 0
 
     /** The sums that differ from what they sum, each with both values; empty if all agree. */
     fun mismatches(): List<String> {
         countPreemptions()
         shardState.jobs.values.forEach { recountJob(it) }
         recountTeams()
+        recountLimits()
         recountMachines()
         recountPages()
         return mismatches
@@ -47,13 +49,16 @@
         var placed = 0
         var running = 0
         var done = 0
+        var unstored = 0
         for (chunk in job.chunks) {
             if (chunk == null) continue
             placed += chunk.placements.size
             running += chunk.placements.values.count { it.running }
             done += chunk.done.cardinality()
+            unstored += chunk.placements.values.count { !it.committed }
         }
         placementCount += placed
+        unstoredCount += unstored
         cpusByTeam[job.team.value] += placed * job.spec.cpus
         compare({ "$jobId, placed" }, job.placedCount, placed)
         compare({ "$jobId, running" }, job.runningCount, running)
@@ -84,6 +89,11 @@
         }
     }
 
+    private fun recountLimits() {
+        compare({ "placements" }, shardState.placementLimits.placedCount, placementCount)
+        compare({ "placements to store" }, shardState.placementLimits.unstoredCount, unstoredCount)
+    }
+
     private fun recountMachines() {
         var placementsOnMachines = 0
         for (machine in shardState.machines.values) {
