A machine gets no more tasks than the status of its worker has room for

What callers saw: 3,000 small tasks of an array on one machine; the worker's report is larger than 64 KiB and every controller answers 413. Cause: a status lists all tasks on the machine, ended ones until they are forgotten, and is limited in size; nothing limited the tasks by number. Change: what tasks take in the status is a resource of the machine, an upper bound by the length of the job's id, ended tasks included. Tasks that take more of it than of the machine's resources leave an eighth free, and another eighth if one of their job is there. Why it works: a launch is decided only when its entry, whatever becomes of it, fits beside those of all tasks that are or may be on the machine.

--- a/src/main/kotlin/io/reedmast/app/HttpApi.kt
+++ b/src/main/kotlin/io/reedmast/app/HttpApi.kt
@@ -6,6 +6,7 @@
 import io.reedmast.wire.Fields
 import io.reedmast.wire.JobSpec
 import io.reedmast.wire.MalformedException
+import io.reedmast.wire.MessageSizes
 import io.reedmast.wire.UserAnswer
 import io.reedmast.wire.WorkerReplies
 import io.reedmast.wire.WorkerStatus
@@ -163,8 +164,9 @@
     /** The body of [request], null if it is larger than any message may be. */
     private fun bodyOf(request: Request): ByteArray? {
         val length = request.header("Content-Length")?.toLongOrNull()
-        if (length != null && length > MAX_BODY_BYTES) return null
-        return request.body.stream.readNBytes(MAX_BODY_BYTES + 1).takeIf { it.size <= MAX_BODY_BYTES }
+        if (length != null && length > MessageSizes.MAX_BODY_BYTES) return null
+        return request.body.stream.readNBytes(MessageSizes.MAX_BODY_BYTES + 1)
+            .takeIf { it.size <= MessageSizes.MAX_BODY_BYTES }
     }
 
     private fun tooLarge() = Response(Status.REQUEST_ENTITY_TOO_LARGE).header("Connection", "close")
@@ -177,7 +179,6 @@
         const val JOB_PREFIX = "/submissions/"
         const val ABORT_SUFFIX = "/abort"
         val MISDIRECTED = Status(421, "Misdirected Request")
-        const val MAX_BODY_BYTES = 64 * 1024
         const val IDLE_CONNECTIONS_RATIO = 0.85
         const val SERVED_CONNECTIONS_RATIO = 0.9
         const val BACKLOG = 512
--- a/src/main/kotlin/io/reedmast/gangs/ReservationSelection.kt
+++ b/src/main/kotlin/io/reedmast/gangs/ReservationSelection.kt
@@ -7,6 +7,7 @@
 import io.reedmast.placement.isEligible
 import io.reedmast.placement.tasksThatFit
 import io.reedmast.wire.JobSpec
+import io.reedmast.wire.reportedTaskBytes
 
 /**
  * Selects machines to reserve for the waiting gang [job], on which it fits once arrays there have ended. If the gang
@@ -58,6 +59,7 @@
         machine.freeCpus + arrayTasks.sumOf { it.job.spec.cpus },
         machine.freeGpus + arrayTasks.sumOf { it.job.spec.gpus },
         machine.freeMemoryGb + arrayTasks.sumOf { it.job.spec.memoryGb },
+        machine.freeReportBytes + arrayTasks.sumOf { it.job.spec.reportedTaskBytes },
     )
     return freeOnceEnded.tasksThatFit(spec)
 }
--- a/src/main/kotlin/io/reedmast/heartbeats/HeartbeatHandler.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/HeartbeatHandler.kt
@@ -61,6 +61,7 @@
         val missing = machine.placements.values.filter { it.committed && it.id !in listed }
         val isAnswerPresumedLost = source == StatusSource.HEARTBEAT && hasUnconfirmedLaunch(missing)
         missing.flatMapTo(commands) { missingTasks.onMissing(it, status, source) }
+        unknownTasks.recordReportBytes(machine, status)
         // Counted last, so that the missing tasks above are handled with Machine.usable as it was before this status.
         if (isAnswerPresumedLost) machine.unacknowledgedAnswers++
         return HeartbeatResult(commands, evidence)
--- a/src/main/kotlin/io/reedmast/heartbeats/UnknownTaskHandler.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/UnknownTaskHandler.kt
@@ -4,10 +4,12 @@
 import io.reedmast.model.Job
 import io.reedmast.model.Machine
 import io.reedmast.model.ShardState
+import io.reedmast.wire.MessageSizes
 import io.reedmast.wire.TaskId
 import io.reedmast.wire.TaskState
 import io.reedmast.wire.TaskStatus
 import io.reedmast.wire.WorkerCommand
+import io.reedmast.wire.WorkerStatus
 
 /** Handles tasks on a machine that have no stored placement: they are stopped, and forgotten once they have ended. */
 internal class UnknownTaskHandler(
@@ -24,6 +26,13 @@
         machine.unknownTaskMemoryGb = 0.0
     }
 
+    /** Called after the tasks of a new status were handled: records what those without a placement take in it. */
+    fun recordReportBytes(machine: Machine, status: WorkerStatus) {
+        machine.unknownTaskReportBytes = status.tasks
+            .filter { machine.placements[it.id]?.attempt != it.attempt }
+            .sumOf { MessageSizes.reportedTaskBytes(it.id.jobId, maySave = true) }
+    }
+
     /** Returns the command for the answer; null if there is none for now. */
     fun onUnknown(machine: Machine, reported: TaskStatus): WorkerCommand? {
         val job = shardState.jobs[reported.id.jobId]
--- a/src/main/kotlin/io/reedmast/model/Machine.kt
+++ b/src/main/kotlin/io/reedmast/model/Machine.kt
@@ -1,8 +1,11 @@
 package io.reedmast.model
 
+import io.reedmast.wire.JobSpec
 import io.reedmast.wire.MachineType
+import io.reedmast.wire.MessageSizes
 import io.reedmast.wire.TaskId
 import io.reedmast.wire.WorkerStatus
+import io.reedmast.wire.reportedTaskBytes
 
 /**
  * The state of a machine, as known to the owner of its shard.
@@ -166,15 +169,24 @@
     var unknownTaskGpus = 0.0
     var unknownTaskMemoryGb = 0.0
 
+    /** What the tasks without a placement take in the worker's status, ended ones included, in bytes. */
+    var unknownTaskReportBytes = 0
+
     private var usedCpus = 0.0
     private var usedGpus = 0.0
     private var usedMemoryGb = 0.0
+    private var usedReportBytes = 0
+    private val placementCounts = HashMap<Job, Int>()
     private var serviceCount = 0
 
     val freeCpus: Double get() = (machineType?.cpus ?: 0.0) - usedCpus - unknownTaskCpus
     val freeGpus: Double get() = (machineType?.gpus ?: 0.0) - usedGpus - unknownTaskGpus
     val freeMemoryGb: Double get() = (machineType?.memoryGb ?: 0.0) - usedMemoryGb - unknownTaskMemoryGb
 
+    /** What the worker's status has room for, in bytes: it lists all tasks on the machine and is limited in size. */
+    val freeReportBytes: Int get() =
+        MessageSizes.MAX_REPORTED_TASKS_BYTES - usedReportBytes - unknownTaskReportBytes
+
     /** The price per hour of the machine as rented, on-demand or spot; 0 if its type is not known. */
     val hourlyPrice: Double get() {
         val type = machineType ?: return 0.0
@@ -209,6 +221,8 @@
         usedCpus += placement.job.spec.cpus
         usedGpus += placement.job.spec.gpus
         usedMemoryGb += placement.job.spec.memoryGb
+        usedReportBytes += placement.job.spec.reportedTaskBytes
+        placementCounts.merge(placement.job, 1, Int::plus)
         if (placement.job.spec.isService) serviceCount++
     }
 
@@ -220,6 +234,8 @@
         usedCpus -= placement.job.spec.cpus
         usedGpus -= placement.job.spec.gpus
         usedMemoryGb -= placement.job.spec.memoryGb
+        usedReportBytes -= placement.job.spec.reportedTaskBytes
+        placementCounts.computeIfPresent(placement.job) { _, count -> (count - 1).takeIf { it > 0 } }
         if (placement.job.spec.isService) serviceCount--
         if (placements.isEmpty()) {
             // Sums of decimals accumulate rounding errors; an empty machine must have exactly 0.
@@ -233,10 +249,34 @@
     fun fits(cpus: Double, gpus: Double, memoryGb: Double): Boolean =
         cpus <= freeCpus + EPSILON && gpus <= freeGpus + EPSILON && memoryGb <= freeMemoryGb + EPSILON
 
+    /**
+     * Whether the worker's status has room for one more task of the job. Tasks that take more of the status than of the
+     * machine leave an eighth of it free, and another eighth if one of their job is here already: many small tasks keep
+     * no other job from the machine.
+     */
+    fun hasReportRoom(job: Job): Boolean {
+        val kept = when {
+            !isSmall(job.spec) -> 0
+            job !in placementCounts -> RESERVED_REPORT_BYTES
+            else -> 2 * RESERVED_REPORT_BYTES
+        }
+        return job.spec.reportedTaskBytes <= freeReportBytes - kept
+    }
+
+    /** Whether a task takes a larger share of the worker's status than of the machine's resources. */
+    private fun isSmall(spec: JobSpec): Boolean {
+        val type = machineType ?: return false
+        val reportShare = spec.reportedTaskBytes.toDouble() / MessageSizes.MAX_REPORTED_TASKS_BYTES
+        return spec.cpus < reportShare * type.cpus && spec.gpus <= reportShare * type.gpus &&
+            spec.memoryGb < reportShare * type.memoryGb
+    }
+
     /** Records that the image is used here. Older images are evicted according to the machine type's cache size. */
     fun recordImage(image: String, imageGb: Double) = facts.recordImage(image, imageGb, machineType?.cacheGb ?: 0.0)
 
     companion object {
+        private const val RESERVED_REPORT_BYTES = MessageSizes.MAX_REPORTED_TASKS_BYTES / 8
+
         /** Tolerance of comparisons between sums of decimals. */
         const val EPSILON = 1e-9
 
--- a/src/main/kotlin/io/reedmast/placement/MachineFilters.kt
+++ b/src/main/kotlin/io/reedmast/placement/MachineFilters.kt
@@ -8,6 +8,7 @@
 
 private val machineFilters: List<(TaskRequest, Machine) -> Boolean> = listOf(
     ::hasFreeResources,
+    ::hasReportRoom,
     ::isOfEligibleKind,
     ::isAffordable,
     ::leavesServiceHeadroom,
@@ -18,6 +19,9 @@
 internal fun hasFreeResources(request: TaskRequest, machine: Machine): Boolean =
     machine.fits(request.job.spec.cpus, request.job.spec.gpus, request.job.spec.memoryGb)
 
+/** The worker's status, which lists all tasks on the machine, is limited in size (PROTOCOL, POST /checkin). */
+internal fun hasReportRoom(request: TaskRequest, machine: Machine): Boolean = machine.hasReportRoom(request.job)
+
 internal fun isOfEligibleKind(request: TaskRequest, machine: Machine): Boolean =
     isEligible(request.job.spec, machine.record)
 
--- a/src/main/kotlin/io/reedmast/scheduling/JobPlacer.kt
+++ b/src/main/kotlin/io/reedmast/scheduling/JobPlacer.kt
@@ -45,10 +45,14 @@
         if (shape in pass.shapesWithoutMachine) return null
         val request = TaskRequest(job, urgency, pass.serviceHeadroom) { prices.isOverpriced(job, it) }
         val machine = selectMachine(request, machinesAvailableTo(job, urgency, pass.machines))
-        if (machine == null && shape != null) pass.shapesWithoutMachine.add(shape)
+        if (machine == null && shape != null && !isLimitedBySharing(job, pass)) pass.shapesWithoutMachine.add(shape)
         return machine
     }
 
+    /** Whether the job, unlike others with tasks of the same shape, has its share of what workers may report. */
+    private fun isLimitedBySharing(job: Job, pass: SchedulingPass) =
+        job.placedCount > 0 && pass.machines.any { !it.hasReportRoom(job) }
+
     /** The machines that the job may use. Reservations for gangs apply neither to services nor to starving jobs. */
     private fun machinesAvailableTo(job: Job, urgency: Urgency, machines: List<Machine>): List<Machine> {
         val ignoresReservations = job.spec.isService || urgency.ignoresFailuresAndReservations || reservations.isEmpty
--- a/src/main/kotlin/io/reedmast/scheduling/TaskShape.kt
+++ b/src/main/kotlin/io/reedmast/scheduling/TaskShape.kt
@@ -2,6 +2,7 @@
 
 import io.reedmast.model.Job
 import io.reedmast.placement.Urgency
+import io.reedmast.wire.reportedTaskBytes
 
 /**
  * The properties of a task that decide whether it finds a machine. At any point of a pass, either all tasks of one
@@ -15,6 +16,7 @@
     val allowedTypes: List<String>?,
     val zone: String?,
     val ignoresCostAndHeadroom: Boolean,
+    val reportedTaskBytes: Int,
 ) {
     companion object {
         /**
@@ -32,6 +34,7 @@
                 spec.allowedTypes,
                 spec.zone,
                 urgency.ignoresCostAndHeadroom,
+                spec.reportedTaskBytes,
             )
         }
     }
--- a/src/test/kotlin/io/reedmast/sim/ShardRecount.kt
+++ b/src/test/kotlin/io/reedmast/sim/ShardRecount.kt
@@ -7,6 +7,8 @@
 import io.reedmast.model.ShardState
 import io.reedmast.persistence.PageFormat
 import io.reedmast.persistence.ProgressPage
+import io.reedmast.wire.MessageSizes
+import io.reedmast.wire.reportedTaskBytes
 import kotlin.math.abs
 
 /**
@@ -107,9 +109,11 @@
         var cpus = 0.0
         var memoryGb = 0.0
         var services = 0
+        var reportBytes = 0
         for (placement in machine.placements.values) {
             cpus += placement.job.spec.cpus
             memoryGb += placement.job.spec.memoryGb
+            reportBytes += placement.job.spec.reportedTaskBytes
             if (placement.job.spec.isService) services++
             if (!isInShard(placement)) mismatches.add("machine ${machine.name}: ${placement.id} has ended")
         }
@@ -118,6 +122,9 @@
         val usedMemoryGb = (type?.memoryGb ?: 0.0) - machine.freeMemoryGb - machine.unknownTaskMemoryGb
         compare({ "machine ${machine.name}, CPUs" }, usedCpus, cpus)
         compare({ "machine ${machine.name}, GB of memory" }, usedMemoryGb, memoryGb)
+        val usedReportBytes =
+            MessageSizes.MAX_REPORTED_TASKS_BYTES - machine.freeReportBytes - machine.unknownTaskReportBytes
+        compare({ "machine ${machine.name}, bytes of a report" }, usedReportBytes, reportBytes)
         if (machine.runsServices != services > 0) mismatches.add("machine ${machine.name}: $services services")
     }
 
--- a/src/test/kotlin/io/reedmast/sim/SimGateway.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimGateway.kt
@@ -251,6 +251,7 @@
     override fun call(addr: String, token: Long, epoch: Long, commands: List<WorkerCommand>, done: (Reply) -> Unit) {
         world.messageCount++
         record("direct $addr", WorkerReplies.directCall(token, epoch, commands))
+        world.messageSizeRule.checkCommands(addr, token, commands)
         val worker = world.workerAt(addr)
         if (worker != null) world.cancelledTaskRule.checkDirectCall(controller, worker, token, epoch, commands)
         val delayMs = controller.directCallDelayMs
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -38,6 +38,7 @@
     val rules = RuleChecker(this)
     val rolloutRules = RolloutRules(this)
     internal val cancelledTaskRule = CancelledTaskRule(rules::addViolation)
+    internal val messageSizeRule = MessageSizeRule(rules::addViolation)
 
     /** Records the output of the controllers; null if it is not needed. */
     var recorder: OutputRecorder? = null
@@ -208,7 +209,7 @@
             taskCount = args["tasks"]?.toInt() ?: 1,
             cpus = args["cpus"]?.toDouble() ?: 1.0,
             gpus = 0.0,
-            memoryGb = 1.0,
+            memoryGb = args["memory"]?.toDouble() ?: 1.0,
             image = args["image"] ?: "img",
             imageGb = args["imageGb"]?.toDouble() ?: 0.1,
             allowedTypes = args["types"]?.split(','),
@@ -229,6 +230,7 @@
      */
     fun deliverHeartbeat(controller: SimController, status: WorkerStatus, onAnswer: (WorkerAnswer) -> Unit = {}) {
         messageCount++
+        messageSizeRule.checkStatus(status)
         controller.hasHandledEvent = true
         val processNumber = controller.processNumber
         val handle = {
@@ -236,6 +238,13 @@
             cancelledTaskRule.recordStatus(controller, status)
             process?.onHeartbeat(status)?.let {
                 record(controller, status, it)
+                if (it is WorkerAnswer.Commands) {
+                    messageSizeRule.checkCommands(
+                        status.machineName,
+                        it.token,
+                        it.commands,
+                    )
+                }
                 cancelledTaskRule.checkAnswer(controller, process, status, it)
                 if (controller.processNumber == processNumber) onAnswer(it)
             }
