Commands for a worker fit into one message: answers and direct calls are limited

What callers would see: an answer to a worker above 64 KiB, where many small tasks are launched or stopped at once. The protocol allows no such answer; what a worker does with it is open. Cause: an answer held the commands for all tasks of the machine, two for each launch of a cancelled task that may still arrive late; a direct call held all that was queued for the machine. Change: AnswerCommands collects up to the size of a message; a launch that does not fit is not recorded as sent. A direct call takes the first commands that fit; answers to heartbeats carry the others, as they do when a call is lost. Stops of cancelled tasks go before other commands.

--- a/src/main/kotlin/io/reedmast/commands/CommandDispatcher.kt
+++ b/src/main/kotlin/io/reedmast/commands/CommandDispatcher.kt
@@ -10,6 +10,7 @@
 import io.reedmast.wire.Reply
 import io.reedmast.wire.WorkerCommand
 import io.reedmast.wire.WorkerStatus
+import io.reedmast.wire.fittingOneMessage
 import org.slf4j.LoggerFactory
 
 /**
@@ -92,8 +93,8 @@
         reason == StopReason.CANCELLED || reason == StopReason.GANG_INCOMPLETE
 
     /**
-     * Sends the queued commands in one call for each machine; those for machines that may not be called now are
-     * dropped.
+     * Sends the queued commands in one call for each machine. Those for machines that may not be called now are
+     * dropped, and so are those that do not fit into one message.
      */
     fun send() {
         for ((machine, queued) in queue.drain()) {
@@ -102,7 +103,7 @@
             if (commands.isEmpty() || addr == null) continue
             val refusal = callPolicy.refusalFor(machine)
             if (refusal == null) {
-                call(machine, addr, commands)
+                call(machine, addr, commands.fittingOneMessage())
             } else {
                 droppedStops.record(refusal, commands.count { it is WorkerCommand.StopTask })
             }
--- a/src/main/kotlin/io/reedmast/commands/TokenAnnouncer.kt
+++ b/src/main/kotlin/io/reedmast/commands/TokenAnnouncer.kt
@@ -10,6 +10,7 @@
 import io.reedmast.wire.Reply
 import io.reedmast.wire.WorkerCommand
 import io.reedmast.wire.WorkerStatus
+import io.reedmast.wire.fittingOneMessage
 
 /**
  * Announces a new owner's token to the workers of its shard.
@@ -85,8 +86,9 @@
         commands: List<WorkerCommand>,
         onStatus: (WorkerStatus) -> Unit = {},
     ) {
-        workers.call(addr, shardState.tokenFor(machine), epoch, commands) { reply ->
-            if (reply is Reply.Answer) replies.onReply(machine, reply, commands)?.let(onStatus)
+        val sent = commands.fittingOneMessage()
+        workers.call(addr, shardState.tokenFor(machine), epoch, sent) { reply ->
+            if (reply is Reply.Answer) replies.onReply(machine, reply, sent)?.let(onStatus)
         }
     }
 
--- a/src/main/kotlin/io/reedmast/heartbeats/HeartbeatHandler.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/HeartbeatHandler.kt
@@ -7,7 +7,6 @@
 import io.reedmast.model.ShardState
 import io.reedmast.wire.TaskId
 import io.reedmast.wire.TaskStatus
-import io.reedmast.wire.WorkerCommand
 import io.reedmast.wire.WorkerStatus
 
 /**
@@ -46,25 +45,25 @@
         val now = shardState.clock.now()
         val evidence = statusEvaluator.evaluate(machine, status, source, now)
         if (evidence != StatusEvidence.CURRENT) return HeartbeatResult(emptyList(), evidence)
-        val commands = ArrayList<WorkerCommand>()
+        val answer = AnswerCommands()
         val listed = HashSet<TaskId>()
         unknownTasks.resetUnknownUsage(machine)
         for (reported in status.tasks) {
             val placement = placementOf(machine, reported)
             if (placement == null) {
-                unknownTasks.onUnknown(machine, reported)?.let { commands.add(it) }
+                unknownTasks.onUnknown(machine, reported)?.let { answer.add(it) }
             } else {
                 listed.add(reported.id)
-                commands.addAll(reportedTasks.onReported(placement, reported, now))
+                reportedTasks.onReported(placement, reported, now).forEach { answer.add(it) }
             }
         }
         val missing = machine.placements.values.filter { it.committed && it.id !in listed }
         val isAnswerPresumedLost = source == StatusSource.HEARTBEAT && hasUnconfirmedLaunch(missing)
-        missing.flatMapTo(commands) { missingTasks.onMissing(it, status, source) }
+        missing.forEach { missingTasks.onMissing(it, status, source, answer) }
         unknownTasks.recordReportBytes(machine, status)
         // Counted last, so that the missing tasks above are handled with Machine.usable as it was before this status.
         if (isAnswerPresumedLost) machine.unacknowledgedAnswers++
-        return HeartbeatResult(commands, evidence)
+        return HeartbeatResult(answer.commands, evidence)
     }
 
     /** The stored placement of the reported attempt; null if there is none. */
--- a/src/main/kotlin/io/reedmast/heartbeats/MissingTaskHandler.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/MissingTaskHandler.kt
@@ -18,36 +18,31 @@
     private val log = LoggerFactory.getLogger("shard")
 
     /**
-     * Handles [placement], whose task is absent from [status], as [MissingTask] classifies it. Returns the commands for
-     * the answer to the heartbeat with [status].
+     * Handles [placement], whose task is absent from [status], as [MissingTask] classifies it. Adds the commands for
+     * the answer to the heartbeat with [status] to [answer].
      */
-    fun onMissing(placement: Placement, status: WorkerStatus, source: StatusSource): List<WorkerCommand> =
+    fun onMissing(placement: Placement, status: WorkerStatus, source: StatusSource, answer: AnswerCommands) {
         when (MissingTask.of(placement, status, source, FencingToken.lastOfRange(shardState.token))) {
             MissingTask.LOST -> {
                 logLost(placement)
                 shardState.finish(placement, done = false)
-                emptyList()
             }
 
             MissingTask.LOST_AND_RESTARTABLE -> {
                 logLost(placement)
                 placement.job.recordLost(placement)
-                if (source == StatusSource.HEARTBEAT) launchIfAllowed(placement, status) else emptyList()
+                if (source == StatusSource.HEARTBEAT) launchIfAllowed(placement, status, answer)
             }
 
-            MissingTask.LAUNCH_DUE -> launchIfAllowed(placement, status)
+            MissingTask.LAUNCH_DUE -> launchIfAllowed(placement, status, answer)
 
-            // Once launched and stopped, the attempt is known to the worker as ended, so a late launch has no effect.
-            MissingTask.LATE_LAUNCH_POSSIBLE ->
-                listOf(launch(placement, status), dispatcher.stopCommand(placement))
+            MissingTask.LATE_LAUNCH_POSSIBLE -> launchAndStop(placement, status, answer)
 
-            MissingTask.SUPERSEDED, MissingTask.STOPPED -> {
-                shardState.finish(placement, done = false)
-                emptyList()
-            }
+            MissingTask.SUPERSEDED, MissingTask.STOPPED -> shardState.finish(placement, done = false)
 
-            MissingTask.NO_ANSWER_POSSIBLE, MissingTask.DIRECT_CALL_PENDING, MissingTask.ANSWER_PENDING -> emptyList()
+            MissingTask.NO_ANSWER_POSSIBLE, MissingTask.DIRECT_CALL_PENDING, MissingTask.ANSWER_PENDING -> {}
         }
+    }
 
     private fun logLost(placement: Placement) = log.info(
         "task {} attempt {}: lost when an epoch of machine {} ended",
@@ -57,16 +52,29 @@
     )
 
     /**
-     * The launch, if it may be sent now. During a store outage, heartbeats are still answered so that running tasks
-     * keep running, but no task is started: the cancellation of its job may have been confirmed to the user.
+     * Launches the task, if that is allowed now. During a store outage, heartbeats are still answered so that running
+     * tasks keep running, but no task is started: the cancellation of its job may have been confirmed to the user.
      */
-    private fun launchIfAllowed(placement: Placement, status: WorkerStatus): List<WorkerCommand> =
-        if (shardState.isCurrent() && gangs.mayLaunch(placement)) listOf(launch(placement, status)) else emptyList()
+    private fun launchIfAllowed(placement: Placement, status: WorkerStatus, answer: AnswerCommands) {
+        val launch = WorkerCommand.StartTask(placement.id, placement.attempt)
+        if (!shardState.isCurrent() || !gangs.mayLaunch(placement) || !answer.hasRoomFor(launch)) return
+        recordLaunch(placement, status)
+        answer.add(launch)
+    }
+
+    /** Once launched and stopped, the attempt is known to the worker as ended, so a late launch has no effect. */
+    private fun launchAndStop(placement: Placement, status: WorkerStatus, answer: AnswerCommands) {
+        val launch = WorkerCommand.StartTask(placement.id, placement.attempt)
+        val stop = dispatcher.stopCommand(placement)
+        if (!answer.hasRoomFor(launch, stop)) return
+        recordLaunch(placement, status)
+        answer.add(launch)
+        answer.add(stop)
+    }
 
-    private fun launch(placement: Placement, status: WorkerStatus): WorkerCommand {
+    private fun recordLaunch(placement: Placement, status: WorkerStatus) {
         placement.launchEpoch = placement.machine.epoch
         placement.launchSequence = status.sequence
         placement.launchesSentSinceReported++
-        return WorkerCommand.StartTask(placement.id, placement.attempt)
     }
 }
--- a/src/test/kotlin/io/reedmast/commands/CancelledTaskStopsTest.kt
+++ b/src/test/kotlin/io/reedmast/commands/CancelledTaskStopsTest.kt
@@ -6,6 +6,7 @@
 import io.reedmast.wire.TaskStatus
 import io.reedmast.wire.WorkerCommand
 import io.reedmast.wire.WorkerStatus
+import io.reedmast.wire.fittingOneMessage
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 
@@ -33,4 +34,14 @@
         val commands = listOf<WorkerCommand>(stop(cancelled, graceS = 2.0))
         assertEquals(commands, stops.addTo(commands, status(TaskStatus(cancelled, 7, TaskState.RUNNING, null), ended)))
     }
+
+    /** Guards against stops that an answer full of launches has no room for. */
+    @Test
+    fun `stops come first where one message has no room for all commands`() {
+        val launches = List(1_000) { WorkerCommand.StartTask(TaskId("wk-2", it), 1L) }
+        val commands = stops.addTo(launches, status(TaskStatus(cancelled, 7, TaskState.RUNNING, null)))
+        assertEquals(stop(cancelled), commands.first())
+        assertEquals(commands, commands.fittingOneMessage())
+        assertEquals(launches.take(commands.size - 1), commands.drop(1))
+    }
 }
--- a/src/test/kotlin/io/reedmast/wire/MessageSizesTest.kt
+++ b/src/test/kotlin/io/reedmast/wire/MessageSizesTest.kt
@@ -23,4 +23,23 @@
             assertTrue(sizeInList(entry) <= MessageSizes.reportedTaskBytes(id.jobId, maySave = false), "$state")
         }
     }
+
+    @Test
+    fun `no command is larger than the bound`() {
+        val commands = listOf(
+            WorkerCommand.StartTask(id, Long.MAX_VALUE),
+            WorkerCommand.StopTask(id, Long.MAX_VALUE, graceS = 1_234_567.0 / 3),
+            WorkerCommand.ForgetTask(id, Long.MAX_VALUE),
+        )
+        for (command in commands) assertTrue(sizeInList(command.toFields()) <= command.maxBytes, "$command")
+    }
+
+    @Test
+    fun `commands beyond one message are left out`() {
+        val commands = List(5_000) { WorkerCommand.StartTask(TaskId("wk-1", it), 1L) }
+        val fitting = commands.fittingOneMessage()
+        assertEquals(commands.take(fitting.size), fitting)
+        assertTrue(BodyCodec.jsonSize(WorkerReplies.directCall(1L, 1L, fitting)) <= MessageSizes.MAX_BODY_BYTES)
+        assertTrue(fitting.size > 500)
+    }
 }
