A waiting array takes memory for what has begun of it, not for each of its tasks

Cause: an array of 100,000 tasks took a bit for each task and a reference for each chunk, about 18 KB, before anything of it had begun; the number of accepted arrays is not limited. Change: a job knows the first task that nothing has happened to, and the pending ones below it; the list of chunks grows with the tasks.

--- a/src/main/kotlin/io/reedmast/model/Job.kt
+++ b/src/main/kotlin/io/reedmast/model/Job.kt
@@ -27,8 +27,14 @@
         require(chunkSize > 0) { "chunk size must be positive: $chunkSize" }
     }
 
-    /** The chunks in which the job's progress is stored; null as long as nothing has happened to their tasks. */
-    val chunks: Array<Chunk?> = arrayOfNulls((spec.taskCount + chunkSize - 1) / chunkSize)
+    /**
+     * The chunks in which the job's progress is stored, up to the last to whose tasks anything has happened; null if
+     * nothing has happened to their tasks.
+     */
+    val chunks: List<Chunk?> get() = touchedChunks
+
+    /** Grows with the tasks that something has happened to, so that a large array that waits takes little memory. */
+    private val touchedChunks = ArrayList<Chunk?>()
 
     /** Whether the user has cancelled the job; no task of it is placed any more. */
     var isCancelled = false
@@ -49,7 +55,11 @@
     /** The earliest time to write the final record again after the last attempt has failed. */
     var finalRecordNotBefore = 0L
 
-    private val pendingTasks = BitSet(spec.taskCount).apply { set(0, spec.taskCount) }
+    /** Tasks from this number on are pending. */
+    private var untouchedFrom = 0
+
+    /** The pending tasks below [untouchedFrom]. */
+    private val pendingAgain = BitSet()
 
     /** How many tasks are to be placed, having neither a result nor a placement; 0 for a cancelled job. */
     val pendingCount: Int get() = if (isCancelled) 0 else spec.taskCount - doneCount - placedCount
@@ -104,7 +114,8 @@
     /** The chunk that contains the task; it is created on first use. */
     fun chunkOf(task: Int): Chunk {
         val index = task / chunkSize
-        return chunks[index] ?: newChunk(index).also { chunks[index] = it }
+        while (touchedChunks.size <= index) touchedChunks.add(null)
+        return touchedChunks[index] ?: newChunk(index).also { touchedChunks[index] = it }
     }
 
     private fun newChunk(index: Int): Chunk {
@@ -113,20 +124,33 @@
     }
 
     /** The pending task with the lowest number, -1 if there is none. */
-    fun nextPending(): Int = pendingTasks.nextSetBit(0)
+    fun nextPending(): Int {
+        val again = pendingAgain.nextSetBit(0)
+        if (again >= 0) return again
+        return if (untouchedFrom < spec.taskCount) untouchedFrom else NO_TASK
+    }
+
+    private fun setNotPending(task: Int) {
+        if (task < untouchedFrom) {
+            pendingAgain.clear(task)
+        } else {
+            pendingAgain.set(untouchedFrom, task)
+            untouchedFrom = task + 1
+        }
+    }
 
     /** The placements of all tasks, in the order of their numbers. */
     fun placements(): Sequence<Placement> = chunks.asSequence().filterNotNull().flatMap { it.placements.values }
 
     /** Whether the task still has this placement, which has neither ended nor been replaced by another one. */
     fun isCurrent(placement: Placement): Boolean =
-        chunks[placement.task / chunkSize]?.placements?.get(placement.task) === placement
+        chunks.getOrNull(placement.task / chunkSize)?.placements?.get(placement.task) === placement
 
     /** Places a pending task. */
     fun add(placement: Placement) {
         require(placement.job === this) { "task ${placement.id} does not belong to job ${spec.jobId}" }
         chunkOf(placement.task).placements[placement.task] = placement
-        pendingTasks.clear(placement.task)
+        setNotPending(placement.task)
         placedCount++
         placement.machine.add(placement)
     }
@@ -139,7 +163,7 @@
         chunkOf(placement.task).placements.remove(placement.task)
         placedCount--
         if (placement.running) runningCount--
-        if (done) markDone(placement.task) else pendingTasks.set(placement.task)
+        if (done) markDone(placement.task) else pendingAgain.set(placement.task)
         placement.machine.remove(placement)
     }
 
@@ -148,7 +172,7 @@
         val chunk = chunkOf(task)
         if (chunk.done.get(task - chunk.first)) return
         chunk.done.set(task - chunk.first)
-        pendingTasks.clear(task)
+        setNotPending(task)
         doneCount++
     }
 
@@ -170,5 +194,6 @@
 
     private companion object {
         const val EXPENSIVE_TYPES_CAPACITY = 4
+        const val NO_TASK = -1
     }
 }
