Scenario: more tasks than placements that a controller can hold

Cause: the limit on placements had unit tests and one with real processes, which the limit on a machine's tasks passes too.

--- a/src/test/kotlin/io/reedmast/sim/RuleChecker.kt
+++ b/src/test/kotlin/io/reedmast/sim/RuleChecker.kt
@@ -47,6 +47,7 @@
 
     /** Compares the sums that the owner of a shard keeps with what they sum. */
     fun checkRecount(controller: String, shardState: ShardState) {
+        checkPlacementCount(controller, shardState)
         if (shardState in miscounted) return
         val mismatches = ShardRecount(shardState).mismatches()
         if (mismatches.isEmpty()) return
@@ -54,6 +55,13 @@
         addViolation("miscounted by $controller in shard ${shardState.index.value}: $mismatches")
     }
 
+    /** All shards together hold no more placements than one controller can. */
+    private fun checkPlacementCount(controller: String, shardState: ShardState) {
+        val maxOfShard = shardState.tuning.maxPlacements / shardState.settings.shardCount
+        val placed = shardState.machines.values.sumOf { it.placements.size }
+        if (placed > maxOfShard) addViolation("too_many_placements: $placed by $controller")
+    }
+
     /** A worker has accepted a launch: the task occupies resources there from now on. */
     fun taskLaunched(worker: SimWorker, id: TaskId, attempt: Long) {
         residentCount.merge(id.jobId, 1, Int::plus)
--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -11,6 +11,7 @@
 import io.reedmast.settings.Settings
 import io.reedmast.settings.StoreLimits
 import io.reedmast.settings.TeamShare
+import io.reedmast.settings.Tuning
 import io.reedmast.settings.WorkerRules
 import io.reedmast.wire.MachineType
 import io.reedmast.wire.UserAnswer
@@ -23,7 +24,7 @@
  * The events are lines `at SECONDS VERB ARGUMENTS`, in order of time. Before them stand the settings: `controllers N`,
  * `value-kb N`, `next-store-limits VALUE_KB TXN_OPS`, `predates-rollouts CONTROLLERS`, `versions CONTROLLER=VERSION`,
  * `team NAME CPUS MAX`, `machine-type NAME CPUS BOOT_S`, `machine TYPE ZONE [spot]`, `machines N TYPE ZONE [spot]`,
- * `capacity N`, `seed N`, `store-limits WRITES_PER_S PAGE_ITEMS KEPT_CHANGES`, `exact-heartbeats`. The rules of the protocol, and the rules
+ * `capacity N`, `seed N`, `store-limits WRITES_PER_S PAGE_ITEMS KEPT_CHANGES`, `max-placements N`, `exact-heartbeats`. The rules of the protocol, and the rules
  * that its users added, are checked throughout; `expect` lines say what else must hold.
  */
 class Scenario(lines: List<String>) {
@@ -39,7 +40,9 @@
     private val machineTypes = given("machine-type").map {
         MachineType(it[1], it[2].toDouble(), 0.0, 64.0, 50.0, 0.5, 1.0, 0.3, it[3].toDouble(), listOf("x", "y"))
     }
-    val world = World(::settings, controllers, machineTypes)
+    private val tuning =
+        given("max-placements").firstOrNull()?.let { Tuning(maxPlacements = it[1].toInt()) } ?: Tuning()
+    val world = World(::settings, controllers, machineTypes, tuning)
 
     private val rolloutOperator = SimOperator(world)
     private val snapshots = ScenarioSnapshots()
