--- a/src/test/kotlin/io/reedmast/sim/Scenario.kt
+++ b/src/test/kotlin/io/reedmast/sim/Scenario.kt
@@ -306,6 +306,10 @@
             "pause" -> world.controllers.first {
                 it.label == words[1]
             }.pause((words[2].toDouble() * 1000).toLong())
+            // COPIES MAX_DELAY_S: each direct call arrives again up to COPIES times, each up to MAX_DELAY_S later.
+            "copy-direct-calls" ->
+                world.directCallCopies =
+                    DirectCallCopies(words[1].toInt(), (words[2].toDouble() * 1000).toLong())
             "repeat-direct-calls" -> world.directCallRepeatDelayMs = (words[1].toDouble() * 1000).toLong()
             "delay-direct-calls" -> world.controllers.forEach {
                 it.directCallDelayMs =
--- a/src/test/kotlin/io/reedmast/sim/SimGateway.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimGateway.kt
@@ -268,11 +268,13 @@
 
             delayMs > 0L -> {
                 world.after(delayMs) { worker.handleDirectCall(token, epoch, commands) }
+                world.directCallCopies.schedule(world, worker) { worker.handleDirectCall(token, epoch, commands) }
                 reply(DIRECT_CALL_TIMEOUT_MS, done) { Reply.Unanswered("delayed") }
             }
 
             worker.hung -> {
                 worker.whenResumed { worker.handleDirectCall(token, epoch, commands) }
+                world.directCallCopies.schedule(world, worker) { worker.handleDirectCall(token, epoch, commands) }
                 reply(DIRECT_CALL_TIMEOUT_MS, done) { Reply.Unanswered("hung") }
             }
 
@@ -284,6 +286,7 @@
                 ) {
                     world.after(world.directCallRepeatDelayMs) { worker.handleDirectCall(token, epoch, commands) }
                 }
+                world.directCallCopies.schedule(world, worker) { worker.handleDirectCall(token, epoch, commands) }
                 reply(DIRECT_CALL_DELAY_MS, { it: Reply -> deliverReply(it, done) }) { answer }
             }
         }
--- a/src/test/kotlin/io/reedmast/sim/SimWorker.kt
+++ b/src/test/kotlin/io/reedmast/sim/SimWorker.kt
@@ -28,6 +28,9 @@
 
     val addr = "10.1.0.1:$name"
     private val tasks = LinkedHashMap<Pair<TaskId, Long>, Task>()
+
+    /** The attempts that were launched here in the current epoch. */
+    private val launchedInEpoch = HashSet<Pair<TaskId, Long>>()
     private val images = HashSet<String>()
     private val onResume = ArrayList<() -> Unit>()
 
@@ -147,6 +150,7 @@
         if (world.now() - leaseRenewedAt > world.settings.workers.leaseS * 1000) {
             if (attempts().isNotEmpty()) world.leasesExpiredWithTasks++
             removeAllTasks()
+            launchedInEpoch.clear()
             epoch++
             leaseRenewedAt = world.now()
             requestHeartbeat()
@@ -357,6 +361,9 @@
         val job = world.jobs[command.id.jobId]
         val busy = tasks.values.any { it.id == command.id && it.state != TaskState.ENDED }
         tasks[command.id to command.attempt] = task
+        if (!launchedInEpoch.add(command.id to command.attempt)) {
+            world.rules.addViolation("launched_again ${command.id} try ${command.attempt} on $name")
+        }
         requestHeartbeat()
         if (busy || job == null) {
             markEnded(task, if (busy) TaskEndCause.BUSY else TaskEndCause.UNKNOWN)
--- a/src/test/kotlin/io/reedmast/sim/World.kt
+++ b/src/test/kotlin/io/reedmast/sim/World.kt
@@ -126,6 +126,9 @@
     /** Each direct call that was executed arrives again after this delay; 0: none does. */
     var directCallRepeatDelayMs = 0L
 
+    /** The copies in which each direct call arrives again, with delays by chance. */
+    var directCallCopies = DirectCallCopies.NONE
+
     /** Whether every task fails on the machines that are rented from now on. */
     var newMachinesUnhealthy = false
 
