--- a/src/test/kotlin/io/reedmast/loopback/LoopbackCluster.kt
+++ b/src/test/kotlin/io/reedmast/loopback/LoopbackCluster.kt
@@ -31,8 +31,13 @@
  *
  * The store is that of the simulated world, whose clock follows real time.
  */
-class LoopbackCluster(controllers: Int, private val machines: Int, private val classPath: (controller: Int) -> String) :
-    AutoCloseable {
+class LoopbackCluster(
+    controllers: Int,
+    private val machines: Int,
+    /** Each direct call that a worker has executed arrives there again up to this many times. */
+    val maxDirectCallCopies: Int = 0,
+    private val classPath: (controller: Int) -> String,
+) : AutoCloseable {
     val labels = (0 until controllers).map { "n$it" }
     private val apiPorts = labels.map { freePort() }
     private val peerPorts = labels.map { freePort() }
@@ -160,6 +165,17 @@
         return false
     }
 
+    /** Cancels like a user: at one controller after another, until one confirms it. Returns whether one did. */
+    fun cancel(jobId: String): Boolean {
+        repeat(MAX_SUBMIT_ATTEMPTS) { attempt ->
+            val address = apiAddresses[attempt % apiAddresses.size]
+            val reply = caller.call("POST", address, "/submissions/$jobId/abort")
+            if (reply is Reply.Answer && reply.status == 200) return true
+            Thread.sleep(RETRY_MS)
+        }
+        return false
+    }
+
     /** The state of the job according to the first controller that knows it; null if none does. */
     fun jobState(jobId: String): String? = apiAddresses.firstNotNullOfOrNull { address ->
         (caller.call("GET", address, "/submissions/$jobId") as? Reply.Answer)?.takeIf {
--- a/src/test/kotlin/io/reedmast/loopback/LoopbackWorker.kt
+++ b/src/test/kotlin/io/reedmast/loopback/LoopbackWorker.kt
@@ -34,7 +34,7 @@
     private val server = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50)
     private val threads = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
     val addr = "127.0.0.1:${server.address.port}"
-    private val tasks = LinkedHashMap<String, Task>()
+    private val tasks = LinkedHashMap<Pair<String, Long>, Task>()
     private var epoch = 1L
     private var sequence = 0L
     private var token = 0L
@@ -133,7 +133,7 @@
 
     private fun endTask(task: Task, cause: String, now: Long) {
         if (task.state != RUNNING) return
-        task.state = "ended"
+        task.state = ENDED
         task.cause = cause
         cluster.history.recordEnd(task.taskId, now)
     }
@@ -142,19 +142,34 @@
         for (command in (commands as? List<*>).orEmpty().filterIsInstance<Map<*, *>>()) {
             val taskId = command["piece"] as String
             val attempt = (command["try"] as Number).toLong()
-            val existing = tasks[taskId]
+            val existing = tasks[taskId to attempt]
             when (command["verb"]) {
-                "launch" -> launch(taskId, attempt, existing)
-                "stop" -> if (existing?.attempt == attempt) endTask(existing, "halted", cluster.now())
-                "forget" -> if (existing?.attempt == attempt && existing.state != RUNNING) tasks.remove(taskId)
+                "launch" -> if (existing == null) launch(taskId, attempt)
+                "stop" -> if (existing != null) endTask(existing, "halted", cluster.now())
+                "forget" -> if (existing != null && existing.state != RUNNING) tasks.remove(taskId to attempt)
             }
         }
     }
 
-    private fun launch(taskId: String, attempt: Long, existing: Task?) {
-        if (existing?.attempt == attempt || existing?.state == RUNNING) return
-        tasks[taskId] = Task(taskId, attempt, cluster.now(), RUNNING)
-        cluster.history.recordStart(taskId, name, cluster.now())
+    /** Another attempt at the task that still runs here refuses the launch. */
+    private fun launch(taskId: String, attempt: Long) {
+        val isBusy = tasks.values.any { it.taskId == taskId && it.state == RUNNING }
+        cluster.history.recordLaunch(name, epoch, taskId, attempt)
+        val task = Task(taskId, attempt, cluster.now(), if (isBusy) ENDED else RUNNING, if (isBusy) "busy" else null)
+        tasks[taskId to attempt] = task
+        if (!isBusy) cluster.history.recordStart(taskId, name, cluster.now())
+    }
+
+    /** Has copies of an executed call arrive again, after delays by chance, and executes those that still match. */
+    private fun scheduleCopies(callToken: Long, callEpoch: Long, commands: Any?) {
+        if (cluster.maxDirectCallCopies == 0) return
+        repeat(timing.nextInt(cluster.maxDirectCallCopies + 1)) {
+            val delayMs = timing.nextLong(MAX_COPY_DELAY_MS)
+            threads.execute {
+                sleep(delayMs)
+                synchronized(this) { if (!stopped && callToken >= token && callEpoch == epoch) execute(commands) }
+            }
+        }
     }
 
     private fun handleDirectCall(exchange: HttpExchange) {
@@ -166,6 +181,7 @@
             } else {
                 token = callToken
                 execute(body["orders"])
+                scheduleCopies(callToken, epoch, body["orders"])
                 200 to statusFields()
             }
         }
@@ -185,6 +201,8 @@
 
     private companion object {
         const val RUNNING = "running"
+        const val ENDED = "ended"
+        const val MAX_COPY_DELAY_MS = 20_000L
         const val CONNECT_MS = 500
         const val READ_MS = 4_000
         const val RETRY_MS = 1_000L
--- a/src/test/kotlin/io/reedmast/loopback/TaskHistory.kt
+++ b/src/test/kotlin/io/reedmast/loopback/TaskHistory.kt
@@ -7,6 +7,10 @@
 
     private val runs = HashMap<String, MutableList<Run>>()
 
+    private data class Launch(val machine: String, val epoch: Long, val taskId: String, val attempt: Long)
+
+    private val launches = HashSet<Launch>()
+
     /** Descriptions of the violated rules. */
     val violations = ArrayList<String>()
 
@@ -14,6 +18,14 @@
     var leasesExpiredWithTasks = 0
         private set
 
+    /** A worker carries out a launch. In one epoch it does so once for an attempt, also after it was told to forget it. */
+    @Synchronized
+    fun recordLaunch(machine: String, epoch: Long, taskId: String, attempt: Long) {
+        if (!launches.add(Launch(machine, epoch, taskId, attempt))) {
+            violations.add("launched_again $taskId attempt $attempt on $machine")
+        }
+    }
+
     @Synchronized
     fun recordStart(taskId: String, machine: String, atMs: Long) {
         val runsOfTask = runs.getOrPut(taskId) { ArrayList() }
