--- a/src/main/kotlin/io/reedmast/model/Machine.kt
+++ b/src/main/kotlin/io/reedmast/model/Machine.kt
@@ -172,20 +172,15 @@
     /** What the tasks without a placement take in the worker's status, ended ones included, in bytes. */
     var unknownTaskReportBytes = 0
 
-    private var usedCpus = 0.0
-    private var usedGpus = 0.0
-    private var usedMemoryGb = 0.0
-    private var usedReportBytes = 0
-    private val placementCounts = HashMap<Job, Int>()
-    private var serviceCount = 0
+    private val used = PlacedUsage()
 
-    val freeCpus: Double get() = (machineType?.cpus ?: 0.0) - usedCpus - unknownTaskCpus
-    val freeGpus: Double get() = (machineType?.gpus ?: 0.0) - usedGpus - unknownTaskGpus
-    val freeMemoryGb: Double get() = (machineType?.memoryGb ?: 0.0) - usedMemoryGb - unknownTaskMemoryGb
+    val freeCpus: Double get() = (machineType?.cpus ?: 0.0) - used.cpus - unknownTaskCpus
+    val freeGpus: Double get() = (machineType?.gpus ?: 0.0) - used.gpus - unknownTaskGpus
+    val freeMemoryGb: Double get() = (machineType?.memoryGb ?: 0.0) - used.memoryGb - unknownTaskMemoryGb
 
     /** What the worker's status has room for, in bytes: it lists all tasks on the machine and is limited in size. */
     val freeReportBytes: Int get() =
-        MessageSizes.MAX_REPORTED_TASKS_BYTES - usedReportBytes - unknownTaskReportBytes
+        MessageSizes.MAX_REPORTED_TASKS_BYTES - used.reportBytes - unknownTaskReportBytes
 
     /** The price per hour of the machine as rented, on-demand or spot; 0 if its type is not known. */
     val hourlyPrice: Double get() {
@@ -194,10 +189,10 @@
     }
 
     /** Whether a service is placed here. Services run for long, so until they end the machine is paid for anyway. */
-    val runsServices: Boolean get() = serviceCount > 0
+    val runsServices: Boolean get() = used.hasServices
 
     /** Whether this is an on-demand machine with services on it, where further services should be placed. */
-    val isPreferredForServices: Boolean get() = serviceCount > 0 && !record.spot
+    val isPreferredForServices: Boolean get() = runsServices && !record.spot
 
     /** Whether tasks may be placed here: no more are while the worker may not be receiving this owner's answers. */
     val usable: Boolean get() = isStateKnown && decommissionReason == null && !isReturning && machineType != null &&
@@ -218,12 +213,7 @@
             "task ${placement.id} is placed on machine ${placement.machine.name}, not on $name"
         }
         placements[placement.id] = placement
-        usedCpus += placement.job.spec.cpus
-        usedGpus += placement.job.spec.gpus
-        usedMemoryGb += placement.job.spec.memoryGb
-        usedReportBytes += placement.job.spec.reportedTaskBytes
-        placementCounts.merge(placement.job, 1, Int::plus)
-        if (placement.job.spec.isService) serviceCount++
+        used.add(placement.job)
     }
 
     /** Removes the placement and its resources, if it is still the current one of its task. */
@@ -231,18 +221,7 @@
         if (!placements.remove(placement.id, placement)) return
         chunksOfEndedPlacements.removeIf { it.isStored }
         chunksOfEndedPlacements.add(placement.job.chunkOf(placement.task))
-        usedCpus -= placement.job.spec.cpus
-        usedGpus -= placement.job.spec.gpus
-        usedMemoryGb -= placement.job.spec.memoryGb
-        usedReportBytes -= placement.job.spec.reportedTaskBytes
-        placementCounts.computeIfPresent(placement.job) { _, count -> (count - 1).takeIf { it > 0 } }
-        if (placement.job.spec.isService) serviceCount--
-        if (placements.isEmpty()) {
-            // Sums of decimals accumulate rounding errors; an empty machine must have exactly 0.
-            usedCpus = 0.0
-            usedGpus = 0.0
-            usedMemoryGb = 0.0
-        }
+        used.remove(placement.job)
     }
 
     /** Whether the machine has these resources free. */
@@ -257,7 +236,7 @@
     fun hasReportRoom(job: Job): Boolean {
         val kept = when {
             !isSmall(job.spec) -> 0
-            job !in placementCounts -> RESERVED_REPORT_BYTES
+            job !in used -> RESERVED_REPORT_BYTES
             else -> 2 * RESERVED_REPORT_BYTES
         }
         return job.spec.reportedTaskBytes <= freeReportBytes - kept
