--- a/src/main/kotlin/io/reedmast/app/HttpApi.kt
+++ b/src/main/kotlin/io/reedmast/app/HttpApi.kt
@@ -40,7 +40,7 @@
 
     /**
      * The few paths are matched by hand, because http4k's router compiles a pattern for each of its routes with every
-     * request, which took a fifth of the processor time of a heartbeat.
+     * request.
      */
     private val handler: HttpHandler = { request ->
         val path = request.uri.path
@@ -186,10 +186,7 @@
         const val MAX_QUEUED_REQUESTS = 400
         const val MAX_CONCURRENT_SUBMISSIONS = 16
 
-        /**
-         * A poll or cancellation occupies a thread until the next answer of the watch on jobs. With 14, users were
-         * refused thousands of times on a day with many failures.
-         */
+        /** More than submissions, since each occupies a thread until the next answer of the watch on jobs. */
         const val MAX_CONCURRENT_POLLS_AND_CANCELS = 56
         const val WORKER_TIMEOUT_MS = 3_000L
         const val SUBMISSION_TIMEOUT_MS = 4_500L
--- a/src/main/kotlin/io/reedmast/heartbeats/FailureTracker.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/FailureTracker.kt
@@ -36,7 +36,7 @@
         val machine = placement.machine
         machine.failedJobs.add(job.spec.jobId)
         // Several tasks of a job that fail together on one machine say no more about the job than one failure does.
-        // When each of them was counted, an unhealthy machine made the job look faulty, and the machine was kept.
+        // If each counted, an unhealthy machine would make the job look faulty, and would be kept.
         if (job.failedOn.add(machine)) job.consecutiveFailures++
         if (shardState.urgency.isSuspectedFaulty(job)) {
             delayFaultyJob(job, now)
--- a/src/main/kotlin/io/reedmast/heartbeats/MissingTask.kt
+++ b/src/main/kotlin/io/reedmast/heartbeats/MissingTask.kt
@@ -13,8 +13,8 @@
 
     /**
      * The task was killed as an earlier epoch ended, and its worker is back and has the image: the task is launched
-     * there again. When such tasks were placed anew, all tasks of a fleet waited for the store's write limit and for
-     * images after a store outage that lasted longer than workers are answered without the store.
+     * there again. Placed anew, all tasks of a fleet would wait for the store's write limit and for images after a
+     * store outage that lasts longer than workers are answered without the store.
      */
     LOST_AND_RESTARTABLE,
 
--- a/src/main/kotlin/io/reedmast/scheduling/Preemptor.kt
+++ b/src/main/kotlin/io/reedmast/scheduling/Preemptor.kt
@@ -61,8 +61,7 @@
      * How long a job must have waited before other work is stopped for it.
      *
      * A job that would fit a little later anyway needs no preemption: tasks end all the time, and each task that is
-     * stopped loses the work it has done. On a day of arrays, stopping tasks for services without a delay stopped a
-     * fifth of all tasks.
+     * stopped loses the work it has done.
      */
     private fun preemptionDelayMs(job: Job): Long {
         val heartbeatIntervalMs = shardState.settings.workers.heartbeatIntervalS * MS_PER_SECOND
