--- a/src/test/kotlin/io/reedmast/loopback/LoopbackLaunchCopiesTest.kt
+++ b/src/test/kotlin/io/reedmast/loopback/LoopbackLaunchCopiesTest.kt
@@ -9,8 +9,8 @@
  * Three controllers as real processes beside workers at which each direct call arrives again, up to three times and up
  * to 20 s late.
  *
- * The environment variable OLD_CLASS_PATH is the class path of an earlier version, which n0 and n2 then run. If it is
- * not set, as in CI, all run the current version.
+ * The environment variable OLD_CLASS_PATH is the class path of an earlier version that supports the rollout, which n0 and
+ * n2 then run. If it is not set, as in CI, all run the current version.
  */
 class LoopbackLaunchCopiesTest {
     private val currentClassPath = System.getProperty("java.class.path")
